Process prompts apart unless their engines are far behind

Change: a whole request must start six times sooner at one engine.

What binds next is the wait for engines of the prefill role.

--- a/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
+++ b/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
@@ -4,10 +4,18 @@
 
 /**
  * Decides whether a prompt is processed by an engine of the prefill role before another engine
- * answers. It is when that brings the first token sooner, the transfer of the KV cache included;
- * under equal waits this holds for long prompts, of which little is cached where the answer runs.
+ * answers. A prompt that is processed where answers run delays every token of those answers, so it
+ * is processed apart unless the engines for prompts are so far behind that the whole request would
+ * start much sooner at one engine.
  */
 final class PhaseSplitPolicy {
+    /**
+     * How much sooner the whole request must start at one engine. Answers that share their engine
+     * with prompts took several times as long between events, and the longest missed their
+     * deadlines.
+     */
+    private static final double DISTURBANCE = 6;
+
     private final boolean mIsEnabled;
     private final long mTransferNanos;
 
@@ -31,6 +39,6 @@
         if (!mIsEnabled || prefillNanos.isEmpty() || wholeNanos.isEmpty()) {
             return false;
         }
-        return prefillNanos.getAsLong() + mTransferNanos < wholeNanos.getAsLong();
+        return prefillNanos.getAsLong() + mTransferNanos < wholeNanos.getAsLong() * DISTURBANCE;
     }
 }
