Change roles of engines when prompts wait, and leave refusing engines alone

Cause: with the roles that engines start with, prompts wait for the prefill role (mean wait over 150 ms, full-length prompts 700 ms) while answers advance at a sixth of the pace that is asked for.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -15,6 +15,7 @@
 import org.sesamedeck.request.ServingConfiguration;
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.EndpointDescription;
+import org.sesamedeck.routing.EndpointRole;
 import org.sesamedeck.routing.RouterSettings;
 
 /**
@@ -41,6 +42,9 @@
     private final CallerServer mCallers;
     private final StatusServer mStatus;
     private final EndpointDirectory mDirectory;
+    private final RoleAdvisor mAdvisor;
+    private final RoleCoordinator mRoles;
+    private List<EndpointDescription> mKnownEndpoints = List.of();
     private volatile boolean mIsConfigured;
     private volatile boolean mHasEndpoints;
     private volatile boolean mIsStopping;
@@ -64,13 +68,18 @@
         mPlatform = adapters.create(mControl);
         String name = settings.get(GatewaySettings.NAME);
         mRouter = DefaultRouter.create(clock, routerSettings(settings), name, name.hashCode());
+        mAdvisor = new RoleAdvisor(clock, mLog, this::roleWished);
+        mRoles =
+                RoleCoordinator.create(
+                        clock, mPlatform.objects(), mPlatform.engineOrders(), mLog, name);
         mEngine =
                 RequestEngine.create(
                         clock,
                         EventLoopTimers.of(mTraffic),
                         mRouter,
                         mLog,
-                        requestSettings(settings));
+                        requestSettings(settings),
+                        mAdvisor);
         CallerFormat format = mPlatform.callerFormat();
         mEndpoints = EndpointClient.create(mTraffic, clock, format);
         mCallers = CallerServer.create(mTraffic, clock, format, mEngine, mEndpoints);
@@ -137,6 +146,11 @@
                                     mPlatform.endpoints(), mClock, timers, mLog, mDirectory, ~seed)
                             .start();
                 });
+        mTraffic.scheduleAtFixedRate(
+                mAdvisor::check,
+                IDLE_CHECK.toMillis(),
+                IDLE_CHECK.toMillis(),
+                TimeUnit.MILLISECONDS);
         mTraffic.scheduleAtFixedRate(
                 mEndpoints::closeExpired,
                 IDLE_CHECK.toMillis(),
@@ -164,11 +178,22 @@
         mTraffic.execute(
                 () -> {
                     mRouter.updateEndpoints(endpoints);
+                    mKnownEndpoints = endpoints;
                     mHasEndpoints = true;
                     reportReady();
                 });
     }
 
+    /** Called on the traffic thread; the coordinator lives on the other one. */
+    private void roleWished(String service, EndpointRole role) {
+        List<EndpointDescription> engines =
+                mKnownEndpoints.stream()
+                        .filter(endpoint -> endpoint.isEngine())
+                        .filter(endpoint -> endpoint.service().equals(service))
+                        .toList();
+        mControl.execute(() -> mRoles.wish(service, role, engines));
+    }
+
     private void reportReady() {
         if (isReady() && !mWasReady) {
             mWasReady = true;
--- a/gateway/src/main/java/org/sesamedeck/gateway/HttpCallClient.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/HttpCallClient.java
@@ -70,11 +70,28 @@
      */
     public CompletableFuture<Answer> call(
             HttpMethod method, String path, byte[] body, Duration timeout) {
+        return call(request(method, path, body), timeout);
+    }
+
+    /** Makes a call with one header beside the usual ones; see the other method. */
+    public CompletableFuture<Answer> call(
+            HttpMethod method,
+            String path,
+            String headerName,
+            String headerValue,
+            byte[] body,
+            Duration timeout) {
+        FullHttpRequest request = request(method, path, body);
+        request.headers().set(headerName, headerValue);
+        return call(request, timeout);
+    }
+
+    private CompletableFuture<Answer> call(FullHttpRequest request, Duration timeout) {
         CompletableFuture<Answer> result = new CompletableFuture<>();
         if (mLoop.inEventLoop()) {
-            start(request(method, path, body), timeout, result);
+            start(request, timeout, result);
         } else {
-            mLoop.execute(() -> start(request(method, path, body), timeout, result));
+            mLoop.execute(() -> start(request, timeout, result));
         }
         return result;
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/PlatformAdapter.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PlatformAdapter.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.gateway;
 
+import org.sesamedeck.platform.ObjectStore;
 import org.sesamedeck.request.ServingConfiguration;
 import org.sesamedeck.routing.EndpointDescription;
 
@@ -14,6 +15,12 @@
     /** Returns the feed of endpoints. */
     Feed<EndpointDescription> endpoints();
 
+    /** Returns the store, for objects of the product's own. */
+    ObjectStore objects();
+
+    /** Returns the way to give orders to engines. */
+    EngineOrders engineOrders();
+
     /** Returns the path under which the platform asks whether this process takes callers. */
     String readinessPath();
 }
--- /dev/null
+++ b/gateway/src/main/java/org/sesamedeck/gateway/RoleAdvisor.java
@@ -0,0 +1,69 @@
+package org.sesamedeck.gateway;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.sesamedeck.core.Clock;
+import org.sesamedeck.request.Decision;
+import org.sesamedeck.request.DecisionLog;
+import org.sesamedeck.request.LogEntry;
+import org.sesamedeck.request.PhaseObserver;
+import org.sesamedeck.routing.EndpointRole;
+import org.sesamedeck.routing.PhaseBalance;
+
+/** Watches the phases of each service's requests and wishes for role changes. */
+final class RoleAdvisor implements PhaseObserver {
+    private final Clock mClock;
+    private final DecisionLog mLog;
+    private final BiConsumer<String, EndpointRole> mWishes;
+    private final Map<String, PhaseBalance> mBalances = new HashMap<>();
+
+    /**
+     * Creates an advisor.
+     *
+     * @param wishes takes the service and the role of which one more engine is needed
+     */
+    RoleAdvisor(Clock clock, DecisionLog log, BiConsumer<String, EndpointRole> wishes) {
+        mClock = clock;
+        mLog = log;
+        mWishes = wishes;
+    }
+
+    @Override
+    public void promptProcessed(String service, int promptTokens, Duration took) {
+        balance(service).promptProcessed(promptTokens, took);
+    }
+
+    @Override
+    public void streamed(String service, Duration pause, Duration pauseTarget) {
+        balance(service).answered(pause, pauseTarget);
+    }
+
+    private PhaseBalance balance(String service) {
+        return mBalances.computeIfAbsent(service, name -> PhaseBalance.create(mClock));
+    }
+
+    /** Looks at all services; called once a second. */
+    void check() {
+        mBalances.forEach(
+                (service, balance) ->
+                        balance.needed()
+                                .ifPresent(
+                                        role -> {
+                                            mLog.record(
+                                                    LogEntry.of(
+                                                                    Decision.ROLE_WISHED,
+                                                                    mClock.nanoTime())
+                                                            .with("service", service)
+                                                            .with("role", role)
+                                                            .with(
+                                                                    "promptWaitMillis",
+                                                                    balance.promptWait().toMillis())
+                                                            .with(
+                                                                    "pausePart",
+                                                                    balance.pausePart()));
+                                            mWishes.accept(service, role);
+                                        }));
+    }
+}
--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -1,6 +1,7 @@
 package org.sesamedeck.request;
 
 import java.io.ByteArrayOutputStream;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.sesamedeck.routing.Assignment;
@@ -15,6 +16,12 @@
     /** An answer that is no stream is held whole, so that a part of it is never relayed. */
     private static final int MAX_WHOLE_BYTES = 16 << 20;
 
+    /** An engine that refuses work is full, changes its role or leaves: seconds, not moments. */
+    private static final Duration ENGINE_PAUSE = Duration.ofMillis(400);
+
+    /** A full server of a plain service has room again after one request. */
+    private static final Duration SERVER_PAUSE = Duration.ofMillis(40);
+
     private final RequestRun mRun;
     private final Assignment mAssignment;
     private final RequestPhase mPhase;
@@ -23,10 +30,17 @@
     private final EventStreamParser mEvents = new EventStreamParser();
     private Optional<EndpointCall> mCall = Optional.empty();
     private Optional<AnswerHead> mHead = Optional.empty();
+    private final long mSentNanos;
     private boolean mIsOver;
     private boolean mHasEvents;
 
-    Attempt(RequestRun run, Assignment assignment, RequestPhase phase, boolean expectsStream) {
+    Attempt(
+            RequestRun run,
+            Assignment assignment,
+            RequestPhase phase,
+            boolean expectsStream,
+            long sentNanos) {
+        mSentNanos = sentNanos;
         mRun = run;
         mAssignment = assignment;
         mPhase = phase;
@@ -45,6 +59,11 @@
         return mPhase;
     }
 
+    /** Returns when the call was made, in nanoseconds of monotonic time. */
+    long sentNanos() {
+        return mSentNanos;
+    }
+
     /** Takes the call, which may have ended already while it was made. */
     void attach(EndpointCall call) {
         mCall = Optional.of(call);
@@ -136,11 +155,7 @@
 
     private void rejected(AnswerHead head) {
         end();
-        if (head.wrongEndpoint()) {
-            mAssignment.failed(Optional.empty());
-        } else {
-            mAssignment.cancelled();
-        }
+        mAssignment.failed(Optional.of(endpoint().isEngine() ? ENGINE_PAUSE : SERVER_PAUSE));
         mAssignment.close();
         mRun.unsuccessful(this, AttemptOutcome.REJECTED, "status " + head.status());
     }
--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -24,6 +24,7 @@
     private final Router mRouter;
     private final DecisionLog mLog;
     private final RequestSettings mSettings;
+    private final PhaseObserver mPhases;
     private final PhaseSplitPolicy mPhaseSplit;
     private final Map<String, RetryBudget> mBudgets = new HashMap<>();
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
@@ -31,19 +32,30 @@
     private boolean mIsStopping;
 
     private RequestEngine(
-            Clock clock, Timers timers, Router router, DecisionLog log, RequestSettings settings) {
+            Clock clock,
+            Timers timers,
+            Router router,
+            DecisionLog log,
+            RequestSettings settings,
+            PhaseObserver phases) {
         mClock = clock;
         mTimers = timers;
         mRouter = router;
         mLog = log;
         mSettings = settings;
+        mPhases = phases;
         mPhaseSplit = PhaseSplitPolicy.of(settings);
     }
 
     /** Returns an engine that refuses everything until it has a configuration. */
     public static RequestEngine create(
-            Clock clock, Timers timers, Router router, DecisionLog log, RequestSettings settings) {
-        return new RequestEngine(clock, timers, router, log, settings);
+            Clock clock,
+            Timers timers,
+            Router router,
+            DecisionLog log,
+            RequestSettings settings,
+            PhaseObserver phases) {
+        return new RequestEngine(clock, timers, router, log, settings, phases);
     }
 
     /**
@@ -176,6 +188,10 @@
         return mSettings;
     }
 
+    PhaseObserver phases() {
+        return mPhases;
+    }
+
     PhaseSplitPolicy phaseSplit() {
         return mPhaseSplit;
     }
--- a/request/src/main/java/org/sesamedeck/request/RequestRun.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestRun.java
@@ -35,7 +35,8 @@
     private Optional<Timers.Timer> mTimer = Optional.empty();
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<ProcessedPrompt> mProcessedPrompt = Optional.empty();
-    private int mSends;
+    private int mRuns;
+    private int mRejections;
     private int mPrefillSends;
     private int mUnreachable;
     private boolean mMayHaveRun;
@@ -132,7 +133,7 @@
             return RequestPhase.DECODE;
         }
         RequestProfile profile = mProfile.orElseThrow();
-        boolean maySplit = profile.isModelRequest() && mPrefillSends == 0 && mSends == 0;
+        boolean maySplit = profile.isModelRequest() && mPrefillSends == 0 && mRuns == 0;
         if (maySplit
                 && mEngine.phaseSplit()
                         .splits(
@@ -157,7 +158,7 @@
         Route route = mRoute.orElseThrow();
         boolean isPrefill = phase == RequestPhase.PREFILL;
         Attempt attempt =
-                new Attempt(this, assignment, phase, route.kind().isStream() && !isPrefill);
+                new Attempt(this, assignment, phase, route.kind().isStream() && !isPrefill, now());
         mAttempt = Optional.of(attempt);
         CallOptions options =
                 new CallOptions(
@@ -169,7 +170,7 @@
         if (isPrefill) {
             mPrefillSends++;
         } else {
-            mSends++;
+            mRuns++;
         }
         mTrace.add(Decision.SENT, now())
                 .with("endpoint", assignment.endpoint().name())
@@ -204,17 +205,19 @@
             place();
             return;
         }
-        if (outcome == AttemptOutcome.NOT_SENT) {
-            mSends--;
-            mUnreachable++;
-        } else if (outcome == AttemptOutcome.LOST) {
+        if (outcome == AttemptOutcome.LOST) {
             mMayHaveRun = true;
+            mProcessedPrompt = Optional.empty();
+        } else {
+            mRuns--;
         }
-        boolean wasSplit = mProcessedPrompt.isPresent();
-        releasePrompt();
-        if (!wasSplit) {
-            mExcluded.add(attempt.endpoint().name());
+        mRejections += outcome == AttemptOutcome.REJECTED ? 1 : 0;
+        mUnreachable += outcome == AttemptOutcome.NOT_SENT ? 1 : 0;
+        if (mRejections > 1) {
+            // The second refusal may concern the processed prompt and not the engine.
+            releasePrompt();
         }
+        mExcluded.add(attempt.endpoint().name());
         decideNext(outcome, cause);
     }
 
@@ -263,6 +266,11 @@
             return;
         }
         mAttempt = Optional.empty();
+        mEngine.phases()
+                .promptProcessed(
+                        mService,
+                        mRequest.promptTokens(),
+                        Duration.ofNanos(now() - attempt.sentNanos()));
         Optional<String> handle = mPort.processedPromptHandle(head, body);
         mTrace.add(Decision.PROMPT_PROCESSED, now())
                 .with("endpoint", attempt.endpoint().name())
@@ -280,10 +288,7 @@
             return;
         }
         mProcessedPrompt = Optional.empty();
-        if (!mStream.isBegun()) {
-            mFirstByteNanos = now() - mArrivedNanos;
-        }
-        mStream.deliver(head, events);
+        mStream.deliver(head, events, now());
     }
 
     void streamEnded(Attempt attempt, AnswerHead head) {
@@ -292,10 +297,15 @@
         }
         mAttempt = Optional.empty();
         mProcessedPrompt = Optional.empty();
-        if (!mStream.isBegun()) {
-            mFirstByteNanos = now() - mArrivedNanos;
-        }
-        mStream.end(head);
+        mStream.end(head, now());
+        mStream.meanPause(now())
+                .ifPresent(
+                        pause ->
+                                mEngine.phases()
+                                        .streamed(
+                                                mService,
+                                                pause,
+                                                mRoute.orElseThrow().pauseTarget()));
         answered(attempt, head);
     }
 
@@ -310,6 +320,9 @@
     }
 
     private void answered(Attempt attempt, AnswerHead head) {
+        if (mStream.isBegun()) {
+            mFirstByteNanos = mStream.begunNanos() - mArrivedNanos;
+        }
         boolean isOnTime = mFirstByteNanos <= mRoute.orElseThrow().targetLatency().toNanos();
         mTrace.add(Decision.ANSWERED, now())
                 .with("endpoint", attempt.endpoint().name())
@@ -338,7 +351,8 @@
     /** Takes a retry from the budget when attempts and time allow one. */
     private boolean maySendAgain() {
         Route route = mRoute.orElseThrow();
-        return mSends < route.maxAttempts()
+        return mRuns < route.maxAttempts()
+                && mRejections <= RetryPolicy.MAX_REJECTIONS
                 && mDeadlineNanos - now() >= MIN_TIME_LEFT.toNanos()
                 && mEngine.budgetOf(mService).tryRetry();
     }
@@ -348,7 +362,7 @@
             case SEND_AGAIN -> {
                 mTrace.add(mStream.isBegun() ? Decision.RESUMED : Decision.RETRIED, now())
                         .with("after", outcome)
-                        .with("sends", mSends);
+                        .with("runs", mRuns);
                 place();
             }
             case REFUSE -> refuse(ResultCode.OVERLOADED, cause, true);
@@ -380,7 +394,7 @@
 
     private void breakOff(String cause) {
         mPort.abort();
-        mTrace.add(Decision.BROKEN_OFF, now()).with("cause", cause).with("sends", mSends);
+        mTrace.add(Decision.BROKEN_OFF, now()).with("cause", cause).with("runs", mRuns);
         end(RequestOutcome.BROKEN_OFF);
     }
 
@@ -400,7 +414,7 @@
         mTrace.add(decision, now())
                 .with("code", code.number())
                 .with("cause", cause)
-                .with("sends", mSends);
+                .with("runs", mRuns);
         end(RequestOutcome.FAILED);
     }
 
--- a/request/src/main/java/org/sesamedeck/request/RetryPolicy.java
+++ b/request/src/main/java/org/sesamedeck/request/RetryPolicy.java
@@ -9,13 +9,17 @@
  * two is any caller told that its request has not run. Second, whether the caller has received a
  * part of a stream: then no status can be sent any more, and the stream either goes on after its
  * last event or is broken off visibly. Third, whether another send is allowed, by the route's
- * number of attempts and by the retry budget of the service; a call of which no byte left costs
- * neither, since nothing reached an endpoint.
+ * number of runs and by the retry budget of the service. A call that an endpoint states it did not
+ * run is no run, but it draws on the budget; a call of which no byte left costs neither, since
+ * nothing reached an endpoint.
  */
 final class RetryPolicy {
     /** Unreachable endpoints tried for one request; more would only hold the caller up. */
     static final int MAX_UNREACHABLE = 4;
 
+    /** Endpoints that state that they did not run a request, tried before the caller is told. */
+    static final int MAX_REJECTIONS = 2;
+
     private RetryPolicy() {}
 
     /**
