--- a/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
@@ -24,7 +24,10 @@
      * Bounds how long a connection that went silent hides changes; a configuration must be in force
      * within 2.5 s of its acceptance once a disturbance is 4 s past.
      */
-    private static final Duration WATCH = Duration.ofMillis(3_000);
+    static final Duration PROMPT = Duration.ofMillis(3_000);
+
+    /** For changes that may come late; each watch is a call that the store charges. */
+    static final Duration LEISURELY = Duration.ofMillis(20_000);
 
     private static final Duration FIRST_PAUSE = Duration.ofMillis(120);
     private static final Duration MAX_PAUSE = Duration.ofMillis(900);
@@ -34,6 +37,7 @@
     private final Timers mTimers;
     private final DecisionLog mLog;
     private final Listener<T> mListener;
+    private final Duration mWait;
     private final SplittableRandom mRandom;
     private Duration mPause = FIRST_PAUSE;
     private Optional<Long> mFailingSinceNanos = Optional.empty();
@@ -60,18 +64,21 @@
             Timers timers,
             DecisionLog log,
             Listener<T> listener,
+            Duration wait,
             long seed) {
         mFeed = feed;
         mClock = clock;
         mTimers = timers;
         mLog = log;
         mListener = listener;
+        mWait = wait;
         mRandom = new SplittableRandom(seed);
     }
 
     /**
      * Returns a follower that does nothing yet.
      *
+     * @param wait longest time that one call waits for a change
      * @param seed spreads the retries of different processes
      */
     public static <T> FeedFollower<T> create(
@@ -80,8 +87,9 @@
             Timers timers,
             DecisionLog log,
             Listener<T> listener,
+            Duration wait,
             long seed) {
-        return new FeedFollower<>(feed, clock, timers, log, listener, seed);
+        return new FeedFollower<>(feed, clock, timers, log, listener, wait, seed);
     }
 
     /** Begins to follow. */
@@ -116,7 +124,7 @@
         if (mIsClosed) {
             return;
         }
-        mFeed.watch(revision, WATCH)
+        mFeed.watch(revision, mWait)
                 .whenComplete(
                         (changes, failure) -> {
                             if (failure != null) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -44,6 +45,7 @@
     private final EndpointDirectory mDirectory;
     private final RoleAdvisor mAdvisor;
     private final RoleCoordinator mRoles;
+    private final PeerExchange mPeers;
     private List<EndpointDescription> mKnownEndpoints = List.of();
     private volatile boolean mIsConfigured;
     private volatile boolean mHasEndpoints;
@@ -72,6 +74,14 @@
         mRoles =
                 RoleCoordinator.create(
                         clock, mPlatform.objects(), mPlatform.engineOrders(), mLog, name);
+        mPeers =
+                new PeerExchange(
+                        mControl,
+                        clock,
+                        mRouter,
+                        name,
+                        settings.get(GatewaySettings.PEERS),
+                        new SecureRandom().nextLong());
         mEngine =
                 RequestEngine.create(
                         clock,
@@ -132,19 +142,19 @@
         EventLoopTimers timers = EventLoopTimers.of(mControl);
         ConfigurationListener listener =
                 new ConfigurationListener(mClock, mLog, this::configurationRead);
+        mPeers.start();
+        PeerRegistration registration =
+                new PeerRegistration(
+                        mPlatform.objects(),
+                        timers,
+                        mSettings.get(GatewaySettings.NAME),
+                        mSettings.get(GatewaySettings.PEERS));
         mControl.execute(
                 () -> {
-                    FeedFollower.create(
-                                    mPlatform.configurations(),
-                                    mClock,
-                                    timers,
-                                    mLog,
-                                    listener,
-                                    seed)
-                            .start();
-                    FeedFollower.create(
-                                    mPlatform.endpoints(), mClock, timers, mLog, mDirectory, ~seed)
-                            .start();
+                    follow(mPlatform.configurations(), listener, FeedFollower.PROMPT, seed);
+                    follow(mPlatform.endpoints(), mDirectory, FeedFollower.PROMPT, ~seed);
+                    registration.start();
+                    follow(mPlatform.peers(), mPeers, FeedFollower.LEISURELY, seed + 1);
                 });
         mTraffic.scheduleAtFixedRate(
                 mAdvisor::check,
@@ -158,6 +168,12 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private <T> void follow(
+            Feed<T> feed, FeedFollower.Listener<T> listener, Duration wait, long seed) {
+        EventLoopTimers timers = EventLoopTimers.of(mControl);
+        FeedFollower.create(feed, mClock, timers, mLog, listener, wait, seed).start();
+    }
+
     private void configurationRead(ServingConfiguration configuration) {
         mTraffic.execute(
                 () -> {
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
@@ -35,6 +35,14 @@
             Setting.required(
                     LISTEN, "status", SettingTypes.address(), "Address of readiness and metrics.");
 
+    /** Where peers send datagrams. */
+    public static final Setting<HostAddress> PEERS =
+            Setting.required(
+                    LISTEN,
+                    "peers",
+                    SettingTypes.address(),
+                    "Address for datagrams of the other processes.");
+
     /** The platform's store. */
     public static final Setting<HostAddress> STORE =
             Setting.required(
@@ -122,6 +130,7 @@
                 REGION,
                 CALLERS,
                 STATUS,
+                PEERS,
                 STORE,
                 RETRY_RATIO,
                 RETRY_BURST,
--- /dev/null
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -0,0 +1,179 @@
+package org.sesamedeck.gateway;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.sesamedeck.core.Clock;
+import org.sesamedeck.core.HostAddress;
+import org.sesamedeck.routing.EndpointLoad;
+import org.sesamedeck.routing.PeerLoads;
+import org.sesamedeck.routing.Router;
+import org.sesamedeck.wire.generated.EndpointShare;
+import org.sesamedeck.wire.generated.LoadShare;
+
+/**
+ * Tells the other processes by datagrams how much work this one has at each endpoint, and the
+ * router how much the others have. A lost datagram is made good by the next one; nothing that must
+ * hold depends on it. Confined to one event loop.
+ */
+final class PeerExchange implements FeedFollower.Listener<HostAddress>, AutoCloseable {
+    /** With few peers, news are sent this often; a router's error grows with their age. */
+    private static final Duration MIN_INTERVAL = Duration.ofMillis(100);
+
+    /** Datagrams that one process sends in a second to all peers together. */
+    private static final int MAX_DATAGRAMS_PER_SECOND = 200;
+
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final EventLoop mLoop;
+    private final Router mRouter;
+    private final String mNode;
+    private final long mIncarnation;
+    private final HostAddress mOwnAddress;
+    private final PeerLoads mLoads;
+    private final Map<String, InetSocketAddress> mPeers = new HashMap<>();
+    private Channel mChannel;
+    private long mSequence;
+    private boolean mWasIdle;
+
+    PeerExchange(
+            EventLoop loop,
+            Clock clock,
+            Router router,
+            String node,
+            HostAddress ownAddress,
+            long incarnation) {
+        mLoop = loop;
+        mRouter = router;
+        mNode = node;
+        mOwnAddress = ownAddress;
+        mIncarnation = incarnation;
+        mLoads = PeerLoads.create(clock);
+    }
+
+    /** Binds the datagram port; waits until that is done. */
+    void start() throws InterruptedException {
+        mChannel =
+                new Bootstrap()
+                        .group(mLoop)
+                        .channel(NioDatagramChannel.class)
+                        .handler(new Receiver())
+                        .bind(mOwnAddress.toSocketAddress())
+                        .sync()
+                        .channel();
+        mLoop.execute(this::tick);
+    }
+
+    private void tick() {
+        List<EndpointLoad> own = mRouter.ownLoad();
+        boolean isIdle = own.isEmpty();
+        // Two idle messages in a row tell the same; the first takes the work off.
+        if (!isIdle || !mWasIdle) {
+            send(own);
+        }
+        mWasIdle = isIdle;
+        if (mLoads.peers() > 0) {
+            mRouter.updatePeerLoad(mLoads.totals());
+        }
+        mLoop.schedule(this::tick, interval().toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private Duration interval() {
+        Duration spread = Duration.ofMillis(1_000L * mPeers.size() / MAX_DATAGRAMS_PER_SECOND);
+        return spread.compareTo(MIN_INTERVAL) > 0 ? spread : MIN_INTERVAL;
+    }
+
+    private void send(List<EndpointLoad> own) {
+        LoadShare.Builder message =
+                LoadShare.newBuilder()
+                        .setNode(mNode)
+                        .setIncarnation(mIncarnation)
+                        .setSequence(++mSequence);
+        for (EndpointLoad load : own) {
+            message.addEndpoints(
+                    EndpointShare.newBuilder()
+                            .setEndpoint(load.endpoint())
+                            .setWaitingMicros(load.waitingNanos() / NANOS_PER_MICRO)
+                            .setRunning(load.running()));
+        }
+        byte[] bytes = message.build().toByteArray();
+        for (InetSocketAddress peer : mPeers.values()) {
+            mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer));
+        }
+        mChannel.flush();
+    }
+
+    @Override
+    public void listed(List<Feed.Item<HostAddress>> items) {
+        mPeers.clear();
+        changed(items);
+    }
+
+    @Override
+    public void changed(List<Feed.Item<HostAddress>> items) {
+        for (Feed.Item<HostAddress> item : items) {
+            boolean isPeer = item.value().isPresent() && !item.value().get().equals(mOwnAddress);
+            if (isPeer) {
+                mPeers.put(item.name(), item.value().get().toSocketAddress());
+            } else {
+                mPeers.remove(item.name());
+            }
+        }
+    }
+
+    @Override
+    public void lost() {}
+
+    @Override
+    public void regained() {}
+
+    @Override
+    public void close() {
+        if (mChannel != null) {
+            mChannel.close();
+        }
+    }
+
+    /** Reads the messages of peers. */
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            LoadShare message;
+            try {
+                message = LoadShare.parseFrom(ByteBufUtil.getBytes(packet.content()));
+            } catch (InvalidProtocolBufferException unreadable) {
+                // Datagrams of other origin may arrive at any port.
+                return;
+            }
+            List<EndpointLoad> loads = new ArrayList<>(message.getEndpointsCount());
+            for (EndpointShare share : message.getEndpointsList()) {
+                loads.add(
+                        new EndpointLoad(
+                                share.getEndpoint(),
+                                share.getWaitingMicros() * NANOS_PER_MICRO,
+                                share.getRunning()));
+            }
+            mLoads.receive(
+                    message.getNode(), message.getIncarnation(), message.getSequence(), loads);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A refused datagram says that a peer is down, which its silence says as well.
+        }
+    }
+}
--- a/gateway/src/main/java/org/sesamedeck/gateway/PlatformAdapter.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PlatformAdapter.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.gateway;
 
+import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.platform.ObjectStore;
 import org.sesamedeck.request.ServingConfiguration;
 import org.sesamedeck.routing.EndpointDescription;
@@ -15,6 +16,9 @@
     /** Returns the feed of endpoints. */
     Feed<EndpointDescription> endpoints();
 
+    /** Returns the feed of the addresses at which the other processes take datagrams. */
+    Feed<HostAddress> peers();
+
     /** Returns the store, for objects of the product's own. */
     ObjectStore objects();
 
--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -19,6 +19,9 @@
     /** An engine that refuses work is full, changes its role or leaves: seconds, not moments. */
     private static final Duration ENGINE_PAUSE = Duration.ofMillis(400);
 
+    /** Nothing listens at the address, or nothing answers there. */
+    private static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(500);
+
     /** A full server of a plain service has room again after one request. */
     private static final Duration SERVER_PAUSE = Duration.ofMillis(40);
 
@@ -88,7 +91,7 @@
     public void notSent(String cause) {
         if (!mIsOver) {
             end();
-            mAssignment.failed(Optional.empty());
+            mAssignment.failed(Optional.of(UNREACHABLE_PAUSE));
             mAssignment.close();
             mRun.unsuccessful(this, AttemptOutcome.NOT_SENT, cause);
         }
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.routing;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -184,6 +185,27 @@
         }
     }
 
+    @Override
+    public List<EndpointLoad> ownLoad() {
+        List<EndpointLoad> loads = new ArrayList<>();
+        for (EndpointState state : mTable.states().values()) {
+            EndpointLoad load = state.ownLoad();
+            if (load.running() > 0) {
+                loads.add(load);
+            }
+        }
+        return loads;
+    }
+
+    @Override
+    public void updatePeerLoad(Map<String, EndpointLoad> loads) {
+        mTable.states()
+                .forEach(
+                        (name, state) ->
+                                state.peerLoad(
+                                        loads.getOrDefault(name, new EndpointLoad(name, 0, 0))));
+    }
+
     @Override
     public void markLeaving(String endpoint) {
         EndpointState state = mTable.state(endpoint);
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -22,6 +22,9 @@
     /** Without reports for long, the oldest assignments are forgotten. */
     private static final int MAX_SINCE_REPORT = 1024;
 
+    /** Peers tell their work several times a second; older news are not used. */
+    private static final long MAX_PEER_LOAD_AGE_NANOS = 800_000_000L;
+
     /** Time over which own prompts count as recent; about the age of a late report. */
     private static final double RECENT_NANOS = 1e9;
 
@@ -46,6 +49,10 @@
     private double mPlainNanos = 10_000_000;
     private double mRecentNanos;
     private long mRecentAtNanos;
+    private boolean mHasPeerLoad;
+    private long mPeerLoadAtNanos;
+    private double mPeerWaitingNanos;
+    private int mPeerRunning;
 
     EndpointState(Clock clock, RouterSettings settings, EndpointDescription description) {
         mClock = clock;
@@ -112,6 +119,23 @@
         }
     }
 
+    /** Takes the work of all other processes together. */
+    synchronized void peerLoad(EndpointLoad load) {
+        mHasPeerLoad = true;
+        mPeerLoadAtNanos = mClock.nanoTime();
+        mPeerWaitingNanos = load.waitingNanos();
+        mPeerRunning = load.running();
+    }
+
+    synchronized EndpointLoad ownLoad() {
+        return new EndpointLoad(
+                mDescription.name(), (long) Math.max(0, mOwnUnstartedNanos), mOwnRunning);
+    }
+
+    private boolean knowsPeerLoad() {
+        return mHasPeerLoad && mClock.nanoTime() - mPeerLoadAtNanos < MAX_PEER_LOAD_AGE_NANOS;
+    }
+
     synchronized void assigned(RoutedAssignment assignment) {
         if (mSinceReport.size() >= MAX_SINCE_REPORT) {
             RoutedAssignment oldest = mSinceReport.pollFirst();
@@ -184,6 +208,9 @@
         if (!mDescription.isEngine()) {
             return (runningNow() + mReportedQueued) * mPlainNanos;
         }
+        if (knowsPeerLoad()) {
+            return Math.max(0, mOwnUnstartedNanos) + mPeerWaitingNanos;
+        }
         if (!mHasReport) {
             return mSinceReportNanos;
         }
@@ -203,6 +230,9 @@
     }
 
     synchronized double runningNow() {
+        if (knowsPeerLoad()) {
+            return mOwnRunning + mPeerRunning;
+        }
         return mHasReport ? mReportedRunning + mSinceReportRunning : mOwnRunning;
     }
 
--- a/routing/src/main/java/org/sesamedeck/routing/PhaseBalance.java
+++ b/routing/src/main/java/org/sesamedeck/routing/PhaseBalance.java
@@ -28,9 +28,9 @@
     private static final long FIXED_NANOS = Duration.ofMillis(30).toNanos();
 
     /** Parts of the longest pause between events that is still on time. */
-    private static final double QUICK_PART = 0.25;
+    private static final double QUICK_PART = 0.18;
 
-    private static final double SLOW_PART = 0.55;
+    private static final double SLOW_PART = 0.32;
 
     /** Shorter prompts measure the network more than the engine. */
     private static final int MIN_PROMPT_TOKENS = 1_500;
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -1,6 +1,7 @@
 package org.sesamedeck.routing;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -50,6 +51,14 @@
     /** Takes a load report, whether polled or carried on an answer. */
     void reportLoad(String endpoint, LoadReport report);
 
+    /** Returns the work of this process at each endpoint that has some. */
+    default List<EndpointLoad> ownLoad() {
+        return List.of();
+    }
+
+    /** Takes the work of all other processes together, by endpoint; valid for a short time. */
+    default void updatePeerLoad(Map<String, EndpointLoad> loads) {}
+
     /** Marks an endpoint as leaving at once, before the endpoint table says so. */
     void markLeaving(String endpoint);
 
