--- /dev/null
+++ b/request/src/test/java/org/sesamedeck/request/ManualTimers.java
@@ -0,0 +1,50 @@
+package org.sesamedeck.request;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.sesamedeck.core.ManualClock;
+
+/** Timers that fire when the test moves the clock. */
+final class ManualTimers implements Timers {
+    private final ManualClock mClock;
+    private final PriorityQueue<Scheduled> mScheduled =
+            new PriorityQueue<>(Comparator.comparingLong(scheduled -> scheduled.mAtNanos));
+
+    ManualTimers(ManualClock clock) {
+        mClock = clock;
+    }
+
+    private static final class Scheduled {
+        private final long mAtNanos;
+        private final Runnable mAction;
+
+        Scheduled(long atNanos, Runnable action) {
+            mAtNanos = atNanos;
+            mAction = action;
+        }
+    }
+
+    @Override
+    public Timer schedule(Duration delay, Runnable action) {
+        Scheduled scheduled = new Scheduled(mClock.nanoTime() + delay.toNanos(), action);
+        mScheduled.add(scheduled);
+        return () -> mScheduled.remove(scheduled);
+    }
+
+    /** Moves the clock and runs what falls due, each at its time. */
+    void advance(Duration duration) {
+        long end = mClock.nanoTime() + duration.toNanos();
+        while (!mScheduled.isEmpty() && mScheduled.peek().mAtNanos <= end) {
+            Scheduled next = mScheduled.poll();
+            mClock.advance(Duration.ofNanos(Math.max(0, next.mAtNanos - mClock.nanoTime())));
+            next.mAction.run();
+        }
+        mClock.advance(Duration.ofNanos(end - mClock.nanoTime()));
+    }
+
+    /** Returns the number of timers that wait. */
+    int waiting() {
+        return mScheduled.size();
+    }
+}
--- /dev/null
+++ b/request/src/test/java/org/sesamedeck/request/RecordingPort.java
@@ -0,0 +1,150 @@
+package org.sesamedeck.request;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.sesamedeck.routing.EndpointDescription;
+
+/** Records what the core does with one request; the test plays the endpoints. */
+final class RecordingPort implements RequestPort {
+    private final List<SentCall> mCalls = new ArrayList<>();
+    private final List<ProcessedPrompt> mReleased = new ArrayList<>();
+    private final ByteArrayOutputStream mStream = new ByteArrayOutputStream();
+    private Optional<Refusal> mRefusal = Optional.empty();
+    private Optional<AnswerHead> mAnswer = Optional.empty();
+    private int mEnds;
+    private boolean mIsStreamEnded;
+    private boolean mIsAborted;
+
+    /** One call to an endpoint. */
+    static final class SentCall implements EndpointCall {
+        private final EndpointDescription mEndpoint;
+        private final CallOptions mOptions;
+        private final CallListener mListener;
+        private boolean mIsConnected = true;
+        private boolean mIsCancelled;
+
+        SentCall(EndpointDescription endpoint, CallOptions options, CallListener listener) {
+            mEndpoint = endpoint;
+            mOptions = options;
+            mListener = listener;
+        }
+
+        EndpointDescription endpoint() {
+            return mEndpoint;
+        }
+
+        CallOptions options() {
+            return mOptions;
+        }
+
+        CallListener listener() {
+            return mListener;
+        }
+
+        boolean isCancelled() {
+            return mIsCancelled;
+        }
+
+        void setConnected(boolean isConnected) {
+            mIsConnected = isConnected;
+        }
+
+        @Override
+        public boolean cancel() {
+            mIsCancelled = true;
+            return !mIsConnected;
+        }
+    }
+
+    List<SentCall> calls() {
+        return mCalls;
+    }
+
+    SentCall lastCall() {
+        return mCalls.get(mCalls.size() - 1);
+    }
+
+    Optional<Refusal> refusal() {
+        return mRefusal;
+    }
+
+    Optional<AnswerHead> answer() {
+        return mAnswer;
+    }
+
+    List<ProcessedPrompt> released() {
+        return mReleased;
+    }
+
+    String streamed() {
+        return mStream.toString(StandardCharsets.UTF_8);
+    }
+
+    boolean isStreamEnded() {
+        return mIsStreamEnded;
+    }
+
+    boolean isAborted() {
+        return mIsAborted;
+    }
+
+    /** Returns how often the caller was given an end. */
+    int ends() {
+        return mEnds;
+    }
+
+    @Override
+    public EndpointCall send(
+            EndpointDescription endpoint, CallOptions options, CallListener listener) {
+        SentCall call = new SentCall(endpoint, options, listener);
+        mCalls.add(call);
+        return call;
+    }
+
+    @Override
+    public Optional<String> processedPromptHandle(AnswerHead head, byte[] body) {
+        return body.length == 0
+                ? Optional.empty()
+                : Optional.of(new String(body, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void release(ProcessedPrompt prompt) {
+        mReleased.add(prompt);
+    }
+
+    @Override
+    public void answer(AnswerHead head, byte[] body) {
+        mAnswer = Optional.of(head);
+        mEnds++;
+    }
+
+    @Override
+    public void beginStream(AnswerHead head) {}
+
+    @Override
+    public void streamEvents(byte[] bytes) {
+        mStream.writeBytes(bytes);
+    }
+
+    @Override
+    public void endStream() {
+        mIsStreamEnded = true;
+        mEnds++;
+    }
+
+    @Override
+    public void refuse(Refusal refusal) {
+        mRefusal = Optional.of(refusal);
+        mEnds++;
+    }
+
+    @Override
+    public void abort() {
+        mIsAborted = true;
+        mEnds++;
+    }
+}
--- /dev/null
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -0,0 +1,183 @@
+package org.sesamedeck.request;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.sesamedeck.core.HostAddress;
+import org.sesamedeck.core.ManualClock;
+import org.sesamedeck.routing.DefaultRouter;
+import org.sesamedeck.routing.EndpointDescription;
+import org.sesamedeck.routing.EndpointRole;
+import org.sesamedeck.routing.RouterSettings;
+
+/** A request engine with four servers, four engines and one route of each kind. */
+final class RequestFixture {
+    static final String HOST = "deck.example";
+    /** More than one for all kinds, so that only their kind keeps requests from a second run. */
+    static final int MAX_ATTEMPTS = 2;
+
+    static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    private final ManualClock mClock = ManualClock.create();
+    private final ManualTimers mTimers = new ManualTimers(mClock);
+    private final DefaultRouter mRouter;
+    private final RequestEngine mEngine;
+    private final List<RequestTrace> mTraces = new ArrayList<>();
+    private int mRequests;
+
+    RequestFixture(boolean splitsPhases) {
+        mRouter =
+                DefaultRouter.create(
+                        mClock, RouterSettings.defaults("east").withStrictRoles(0), "node", 7);
+        DecisionLog log =
+                new DecisionLog() {
+                    @Override
+                    public void record(LogEntry entry) {}
+
+                    @Override
+                    public void requestEnded(RequestTrace trace) {
+                        mTraces.add(trace);
+                    }
+                };
+        PhaseObserver phases =
+                new PhaseObserver() {
+                    @Override
+                    public void promptProcessed(String service, int tokens, Duration took) {}
+
+                    @Override
+                    public void streamed(String service, Duration pause, Duration target) {}
+                };
+        mEngine =
+                RequestEngine.create(
+                        mClock,
+                        mTimers,
+                        mRouter,
+                        log,
+                        new RequestSettings(
+                                0.1,
+                                10,
+                                splitsPhases,
+                                Duration.ofMillis(10),
+                                Duration.ofMillis(250)),
+                        phases);
+        mRouter.updateEndpoints(endpoints());
+    }
+
+    private static List<EndpointDescription> endpoints() {
+        List<EndpointDescription> endpoints = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            endpoints.add(endpoint("server-" + i, "books", false, EndpointRole.MIXED, i));
+            EndpointRole role = i == 0 ? EndpointRole.PREFILL : EndpointRole.DECODE;
+            endpoints.add(endpoint("engine-" + i, "models", true, role, 10 + i));
+        }
+        return endpoints;
+    }
+
+    private static EndpointDescription endpoint(
+            String name, String service, boolean isEngine, EndpointRole role, int number) {
+        return new EndpointDescription(
+                name,
+                HostAddress.of("10.0.0." + (number + 1), 80),
+                service,
+                "east-a",
+                "east",
+                isEngine,
+                false,
+                false,
+                role,
+                isEngine ? RequestEngine.targetsOf(service, List.of("m")) : Set.of());
+    }
+
+    /** Puts a configuration with one route of each kind in force. */
+    RequestFixture configure() {
+        mEngine.configure(configuration(1));
+        return this;
+    }
+
+    static ServingConfiguration configuration(long version) {
+        List<Route> routes = new ArrayList<>();
+        for (RequestKind kind : RequestKind.values()) {
+            String service = kind.isStream() ? "models" : "books";
+            routes.add(
+                    new Route(
+                            "route-" + kind,
+                            HOST,
+                            path(kind),
+                            kind,
+                            TIMEOUT,
+                            Duration.ofMillis(500),
+                            Duration.ofMillis(300),
+                            1,
+                            MAX_ATTEMPTS,
+                            List.of(new ServiceShare(service, 1))));
+        }
+        return ServingConfiguration.of(
+                version,
+                routes,
+                List.of(
+                        new ServiceDescription("books", false, 100),
+                        new ServiceDescription("models", true, 100)),
+                TrafficLimits.initial());
+    }
+
+    static String path(RequestKind kind) {
+        return "/" + kind.name().toLowerCase(Locale.ROOT) + "/";
+    }
+
+    RequestRun start(RequestKind kind, RecordingPort port) {
+        return start(path(kind) + "x", OptionalLong.empty(), port);
+    }
+
+    RequestRun start(String path, OptionalLong lastEvent, RecordingPort port) {
+        mRequests++;
+        return mEngine.start(
+                new CallerRequest(
+                        "request-" + mRequests,
+                        HOST,
+                        path,
+                        Optional.of(Duration.ofSeconds(10)),
+                        Optional.of("m"),
+                        4_000,
+                        100,
+                        List.of(new PromptPart(1, 3_000), new PromptPart(mRequests, 1_000)),
+                        lastEvent),
+                port);
+    }
+
+    RequestEngine engine() {
+        return mEngine;
+    }
+
+    ManualTimers timers() {
+        return mTimers;
+    }
+
+    RequestTrace lastTrace() {
+        return mTraces.get(mTraces.size() - 1);
+    }
+
+    static AnswerHead head(int status) {
+        return new AnswerHead(status, false, false, true, Optional.empty(), "head");
+    }
+
+    static AnswerHead unsigned(int status) {
+        return new AnswerHead(status, false, false, false, Optional.empty(), "head");
+    }
+
+    static AnswerHead notRun() {
+        return new AnswerHead(503, true, false, false, Optional.empty(), "head");
+    }
+
+    static byte[] event(long identifier) {
+        return ("id: " + identifier + "\ndata: token\n\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/request/src/test/java/org/sesamedeck/request/RequestScheduleTest.java
@@ -0,0 +1,182 @@
+package org.sesamedeck.request;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.sesamedeck.routing.RequestPhase;
+
+/** Plays random endpoints and callers against the promises to callers. */
+class RequestScheduleTest {
+    private static final int SCHEDULES = 4_000;
+    private static final int EVENTS = 6;
+    private static final Pattern IDENTIFIER = Pattern.compile("id: (\\d+)\n");
+
+    /** Guards against a second run, a false "not run", and missing, doubled or half events. */
+    @Test
+    void promisesHoldInRandomSchedules() {
+        for (int seed = 0; seed < SCHEDULES; seed++) {
+            new Schedule(seed).play();
+        }
+    }
+
+    /** One request with endpoints that do anything. */
+    private static final class Schedule {
+        private final SplittableRandom mRandom;
+        private final String mSeed;
+        private final RequestFixture mFixture;
+        private final RecordingPort mPort = new RecordingPort();
+        private final RequestKind mKind;
+        private final Set<RecordingPort.SentCall> mRan = new HashSet<>();
+        private final Set<RecordingPort.SentCall> mOver = new HashSet<>();
+        private final List<Integer> mProgress = new ArrayList<>();
+        private boolean mHasLeft;
+
+        Schedule(int seed) {
+            mRandom = new SplittableRandom(seed);
+            mSeed = "seed " + seed;
+            mFixture = new RequestFixture(mRandom.nextBoolean()).configure();
+            mKind = RequestKind.values()[mRandom.nextInt(RequestKind.values().length)];
+        }
+
+        void play() {
+            RequestRun run = mFixture.start(mKind, mPort);
+            for (int step = 0; step < 200 && !run.isOver(); step++) {
+                if (mRandom.nextInt(60) == 0) {
+                    mHasLeft = true;
+                    run.callerLeft();
+                } else {
+                    step(run);
+                }
+                mFixture.timers().advance(Duration.ofMillis(mRandom.nextInt(120)));
+            }
+            assertThat(mSeed, run.isOver(), is(true));
+            check();
+        }
+
+        private void step(RequestRun run) {
+            RecordingPort.SentCall call = mPort.lastCall();
+            while (mProgress.size() < mPort.calls().size()) {
+                mProgress.add(0);
+            }
+            if (mOver.contains(call) || call.isCancelled()) {
+                return;
+            }
+            int progress = mProgress.get(mProgress.size() - 1);
+            if (progress == 0) {
+                begin(call);
+            } else if (call.options().phase() == RequestPhase.PREFILL) {
+                call.listener().body(RequestFixture.bytes("handle"));
+                finish(call);
+            } else {
+                goOn(call, progress);
+            }
+        }
+
+        private void begin(RecordingPort.SentCall call) {
+            boolean isPrefill = call.options().phase() == RequestPhase.PREFILL;
+            switch (mRandom.nextInt(8)) {
+                case 0 -> {
+                    mOver.add(call);
+                    call.listener().notSent("refused");
+                }
+                case 1 -> {
+                    call.listener().answered(RequestFixture.notRun());
+                    finish(call);
+                }
+                case 2 -> {
+                    if (!isPrefill && mRandom.nextBoolean()) {
+                        mRan.add(call);
+                    }
+                    mOver.add(call);
+                    call.listener().broken("lost");
+                }
+                case 3 -> {
+                    if (!isPrefill) {
+                        mRan.add(call);
+                    }
+                    int[] failures = {500, 502, 503, 400, 504};
+                    int status = failures[mRandom.nextInt(failures.length)];
+                    call.listener().answered(RequestFixture.head(status));
+                    finish(call);
+                }
+                default -> {
+                    if (!isPrefill) {
+                        mRan.add(call);
+                    }
+                    call.listener().answered(RequestFixture.head(200));
+                    mProgress.set(mProgress.size() - 1, 1);
+                }
+            }
+        }
+
+        private void goOn(RecordingPort.SentCall call, int progress) {
+            if (mRandom.nextInt(10) == 0) {
+                call.listener().body(RequestFixture.bytes("id: 99\nda"));
+                mOver.add(call);
+                call.listener().broken("cut within an event");
+                return;
+            }
+            long first = call.options().lastEvent().orElse(0) + 1;
+            long next = first + progress - 1;
+            if (next > EVENTS || !mKind.isStream()) {
+                finish(call);
+                return;
+            }
+            call.listener().body(RequestFixture.event(next));
+            if (mProgress.size() == mPort.calls().size()) {
+                mProgress.set(mProgress.size() - 1, progress + 1);
+            }
+        }
+
+        private void finish(RecordingPort.SentCall call) {
+            mOver.add(call);
+            call.listener().ended();
+        }
+
+        private void check() {
+            assertThat(mSeed + ": ends", mPort.ends(), is(mHasLeft ? 0 : 1));
+            if (!mKind.isRepeatable()) {
+                assertThat(mSeed + ": runs", mRan.size(), lessThanOrEqualTo(1));
+            }
+            boolean isRefused =
+                    mPort.refusal().map(refusal -> refusal.code().httpStatus() == 503).orElse(false)
+                            || mPort.answer()
+                                    .map(head -> head.status() == 503 || head.status() == 429)
+                                    .orElse(false);
+            if (isRefused) {
+                assertThat(mSeed + ": refused although it ran", mRan.isEmpty(), is(true));
+            }
+            checkEvents();
+            for (RecordingPort.SentCall call : mPort.calls()) {
+                assertThat(
+                        mSeed + ": call left at work",
+                        mOver.contains(call) || call.isCancelled(),
+                        is(true));
+            }
+            assertThat(mSeed + ": timers left", mFixture.timers().waiting(), is(0));
+            assertThat(mSeed + ": active", mFixture.engine().activeRequests(), is(0));
+        }
+
+        private void checkEvents() {
+            Matcher identifiers = IDENTIFIER.matcher(mPort.streamed());
+            int expected = 0;
+            while (identifiers.find()) {
+                expected++;
+                assertThat(mSeed, Integer.parseInt(identifiers.group(1)), is(expected));
+            }
+            if (mPort.isStreamEnded()) {
+                assertThat(mSeed + ": ended early", expected, is(EVENTS));
+            }
+        }
+    }
+}
