--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -18,6 +18,7 @@
 /** A request engine with four servers, four engines and one route of each kind. */
 final class RequestFixture {
     static final String HOST = "deck.example";
+
     /** More than one for all kinds, so that only their kind keeps requests from a second run. */
     static final int MAX_ATTEMPTS = 2;
 
