--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -17,6 +17,7 @@
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.EndpointRole;
+import org.sesamedeck.routing.EngineTraits;
 import org.sesamedeck.routing.RouterSettings;
 
 /**
@@ -107,7 +108,12 @@
 
     private static RouterSettings routerSettings(Settings settings) {
         return RouterSettings.defaults(settings.get(GatewaySettings.REGION))
-                .withStrictRoles(0)
+                .withTraits(
+                        new EngineTraits(
+                                true,
+                                settings.get(GatewaySettings.FETCH_CACHES),
+                                settings.get(GatewaySettings.BATCH_SCALE),
+                                settings.get(GatewaySettings.PACE_LIMIT).toNanos()))
                 .withBytesPerToken(BYTES_PER_TOKEN)
                 .withSpeed(
                         settings.get(GatewaySettings.PROMPT_TOKEN_TIME).toNanos(),
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
@@ -108,9 +108,37 @@
                     ENGINES,
                     "output-token-time",
                     SettingTypes.duration(Duration.ofNanos(1_000), Duration.ofSeconds(1)),
-                    "5ms",
+                    "35ms",
                     "First guess of the time between two tokens of an answer.");
 
+    /** Whether engines fetch parts of prompts from each other. */
+    public static final Setting<Boolean> FETCH_CACHES =
+            Setting.optional(
+                    ENGINES,
+                    "fetch-caches",
+                    SettingTypes.flag(),
+                    "true",
+                    "Whether an engine may fetch what another one keeps of a prompt.");
+
+    /** Batch that doubles the time between tokens. */
+    public static final Setting<Double> BATCH_SCALE =
+            Setting.optional(
+                    ENGINES,
+                    "batch-scale",
+                    SettingTypes.decimal(1, 100_000),
+                    "25",
+                    "Answers in progress at which an engine takes twice as long for a token.");
+
+    /** Slowest pace at which answers are still started. */
+    public static final Setting<Duration> PACE_LIMIT =
+            Setting.optional(
+                    ENGINES,
+                    "pace-limit",
+                    SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(10)),
+                    "75ms",
+                    "Time between tokens beyond which an engine is given no further answer; 0ms for"
+                            + " no limit.");
+
     /** Time until a killed process ends. */
     public static final Setting<Duration> GRACE =
             Setting.optional(
@@ -139,6 +167,9 @@
                 TRANSFER_TIME,
                 PROMPT_TOKEN_TIME,
                 OUTPUT_TOKEN_TIME,
+                FETCH_CACHES,
+                BATCH_SCALE,
+                PACE_LIMIT,
                 GRACE);
     }
 }
--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -25,6 +25,9 @@
     /** A full server of a plain service has room again after one request. */
     private static final Duration SERVER_PAUSE = Duration.ofMillis(40);
 
+    /** Events whose pace is told together. */
+    private static final int PACE_EVENTS = 4;
+
     private final RequestRun mRun;
     private final Assignment mAssignment;
     private final RequestPhase mPhase;
@@ -36,6 +39,8 @@
     private final long mSentNanos;
     private boolean mIsOver;
     private boolean mHasEvents;
+    private long mPaceSinceNanos;
+    private int mPaceEvents;
 
     Attempt(
             RequestRun run,
@@ -133,10 +138,28 @@
                 mHasEvents = true;
                 mAssignment.firstToken();
             }
+            measurePace(events.size());
             mRun.events(this, mHead.orElseThrow(), events);
         }
     }
 
+    /**
+     * The pace is told while the answer runs, since an engine that slows down must be seen soon.
+     */
+    private void measurePace(int events) {
+        long now = mRun.now();
+        if (mPaceSinceNanos == 0) {
+            mPaceSinceNanos = now;
+            return;
+        }
+        mPaceEvents += events;
+        if (mPaceEvents >= PACE_EVENTS) {
+            mAssignment.progressed(mPaceEvents, now - mPaceSinceNanos);
+            mPaceEvents = 0;
+            mPaceSinceNanos = now;
+        }
+    }
+
     @Override
     public void ended() {
         if (mIsOver) {
--- a/request/src/main/java/org/sesamedeck/request/CallOptions.java
+++ b/request/src/main/java/org/sesamedeck/request/CallOptions.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.RequestPhase;
 
 /**
@@ -12,6 +13,7 @@
  * @param timeLeft after this it stops its work
  * @param priority rank of the route, 0 is the most urgent
  * @param processedPrompt where the processed prompt lies, if another endpoint processed it
+ * @param cacheSource another engine from which the prompt's beginning can be fetched
  * @param lastEvent last event that the caller has; the answer goes on after it
  */
 public record CallOptions(
@@ -19,4 +21,5 @@
         Duration timeLeft,
         int priority,
         Optional<ProcessedPrompt> processedPrompt,
+        Optional<EndpointDescription> cacheSource,
         OptionalLong lastEvent) {}
--- a/request/src/main/java/org/sesamedeck/request/Decision.java
+++ b/request/src/main/java/org/sesamedeck/request/Decision.java
@@ -6,10 +6,11 @@
  */
 public enum Decision {
     ADMITTED,
-    PLACED,
+    WAITING,
     SENT,
     NOT_SENT,
     REJECTED,
+    FAILURE_ANSWERED,
     BROKEN,
     RETRIED,
     RESUMED,
--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -28,6 +28,7 @@
     private final PhaseSplitPolicy mPhaseSplit;
     private final Map<String, RetryBudget> mBudgets = new HashMap<>();
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
+    private final WaitingLine mWaiting;
     private int mActive;
     private boolean mIsStopping;
 
@@ -45,6 +46,7 @@
         mSettings = settings;
         mPhases = phases;
         mPhaseSplit = PhaseSplitPolicy.of(settings);
+        mWaiting = new WaitingLine(timers);
     }
 
     /** Returns an engine that refuses everything until it has a configuration. */
@@ -188,6 +190,10 @@
         return mSettings;
     }
 
+    WaitingLine waiting() {
+        return mWaiting;
+    }
+
     PhaseObserver phases() {
         return mPhases;
     }
--- /dev/null
+++ b/request/src/main/java/org/sesamedeck/request/RequestLog.java
@@ -0,0 +1,119 @@
+package org.sesamedeck.request;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.sesamedeck.core.Clock;
+import org.sesamedeck.core.ResultCode;
+import org.sesamedeck.routing.EndpointDescription;
+import org.sesamedeck.routing.RequestPhase;
+
+/** Puts the decisions on one request, with the inputs that decided them, into its trace. */
+final class RequestLog {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final Clock mClock;
+    private final RequestTrace mTrace;
+    private final int mPromptTokens;
+
+    private RequestLog(Clock clock, RequestTrace trace, int promptTokens) {
+        mClock = clock;
+        mTrace = trace;
+        mPromptTokens = promptTokens;
+    }
+
+    static RequestLog of(Clock clock, CallerRequest request, Optional<Route> route) {
+        return new RequestLog(
+                clock,
+                RequestTrace.of(request.identifier(), route.map(Route::name).orElse("")),
+                request.promptTokens());
+    }
+
+    void admitted(Route route, String service, long configurationVersion, long timeLeftNanos) {
+        add(Decision.ADMITTED)
+                .with("route", route.name())
+                .with("kind", route.kind())
+                .with("service", service)
+                .with("configurationVersion", configurationVersion)
+                .with("timeLeftMillis", timeLeftNanos / NANOS_PER_MILLI)
+                .with("promptTokens", mPromptTokens);
+    }
+
+    void waiting(int ahead) {
+        add(Decision.WAITING).with("ahead", ahead);
+    }
+
+    void sent(EndpointDescription endpoint, RequestPhase phase, long timeLeftNanos) {
+        add(Decision.SENT)
+                .with("endpoint", endpoint.name())
+                .with("phase", phase)
+                .with("timeLeftMillis", timeLeftNanos / NANOS_PER_MILLI)
+                .with("endpointRegion", endpoint.region());
+    }
+
+    void unsuccessful(Attempt attempt, AttemptOutcome outcome, String cause) {
+        Decision decision =
+                switch (outcome) {
+                    case NOT_SENT -> Decision.NOT_SENT;
+                    case REJECTED -> Decision.REJECTED;
+                    default -> Decision.BROKEN;
+                };
+        add(decision)
+                .with("endpoint", attempt.endpoint().name())
+                .with("phase", attempt.phase())
+                .with("cause", cause);
+    }
+
+    void failureAnswered(Attempt attempt, int status) {
+        add(Decision.FAILURE_ANSWERED)
+                .with("endpoint", attempt.endpoint().name())
+                .with("status", status);
+    }
+
+    void promptProcessed(Attempt attempt, boolean hasHandle) {
+        add(Decision.PROMPT_PROCESSED)
+                .with("endpoint", attempt.endpoint().name())
+                .with("hasHandle", hasHandle);
+    }
+
+    void answered(Attempt attempt, int status, long firstByteNanos) {
+        add(Decision.ANSWERED)
+                .with("endpoint", attempt.endpoint().name())
+                .with("status", status)
+                .with("firstByteMillis", firstByteNanos / NANOS_PER_MILLI);
+    }
+
+    void sendingAgain(boolean isResumption, AttemptOutcome after, int runs) {
+        add(isResumption ? Decision.RESUMED : Decision.RETRIED)
+                .with("after", after)
+                .with("runs", runs);
+    }
+
+    void refused(ResultCode code, String cause, Optional<Duration> retryAfter) {
+        add(Decision.REFUSED)
+                .with("code", code.number())
+                .with("cause", cause)
+                .with("retryAfterMillis", retryAfter.map(Duration::toMillis).orElse(0L));
+    }
+
+    void failed(ResultCode code, String cause, int runs) {
+        add(Decision.FAILED).with("code", code.number()).with("cause", cause).with("runs", runs);
+    }
+
+    void brokenOff(String cause, int runs) {
+        add(Decision.BROKEN_OFF).with("cause", cause).with("runs", runs);
+    }
+
+    void callerLeft(boolean streamBegun) {
+        add(Decision.CALLER_LEFT).with("streamBegun", streamBegun);
+    }
+
+    /** Returns the finished trace; times are since arrival, in nanoseconds. */
+    RequestTrace end(RequestOutcome outcome, long firstByteNanos, long totalNanos) {
+        mTrace.end(outcome, firstByteNanos, totalNanos);
+        return mTrace;
+    }
+
+    private LogEntry add(Decision decision) {
+        return mTrace.add(decision, mClock.nanoTime());
+    }
+}
--- a/request/src/main/java/org/sesamedeck/request/RequestRun.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestRun.java
@@ -27,7 +27,7 @@
     private final Optional<RequestProfile> mProfile;
     private final String mService;
     private final RequestPort mPort;
-    private final RequestTrace mTrace;
+    private final RequestLog mLog;
     private final long mArrivedNanos;
     private final long mDeadlineNanos;
     private final StreamDelivery mStream;
@@ -52,13 +52,7 @@
             long configurationVersion,
             RequestPort port) {
         this(engine, request, Optional.of(route), service, Optional.of(profile), port);
-        mTrace.add(Decision.ADMITTED, mArrivedNanos)
-                .with("route", route.name())
-                .with("kind", route.kind())
-                .with("service", service)
-                .with("configurationVersion", configurationVersion)
-                .with("timeLeftMillis", millis(mDeadlineNanos - mArrivedNanos))
-                .with("promptTokens", request.promptTokens());
+        mLog.admitted(route, service, configurationVersion, mDeadlineNanos - mArrivedNanos);
     }
 
     private RequestRun(
@@ -74,8 +68,8 @@
         mProfile = profile;
         mService = service;
         mPort = port;
-        mTrace = RequestTrace.of(request.identifier(), route.map(Route::name).orElse(""));
         mArrivedNanos = engine.clock().nanoTime();
+        mLog = RequestLog.of(engine.clock(), request, route);
         Duration timeout = route.map(Route::timeout).orElse(Duration.ofSeconds(1));
         Duration patience = request.patience().orElse(timeout);
         mDeadlineNanos =
@@ -99,7 +93,24 @@
                                 .schedule(
                                         Duration.ofNanos(mDeadlineNanos - mArrivedNanos),
                                         this::expire));
-        place();
+        boolean isFirst = mEngine.waiting().ahead(priority()) == 0;
+        if (!isFirst || !startIfRoom()) {
+            mLog.waiting(mEngine.waiting().ahead(priority()));
+            mEngine.waiting().add(this, priority());
+        }
+    }
+
+    /** Places the request if the engines can take another answer, and returns whether they can. */
+    boolean startIfRoom() {
+        boolean hasRoom = mEngine.router().hasRoom(mProfile.orElseThrow());
+        if (hasRoom) {
+            place();
+        }
+        return hasRoom;
+    }
+
+    private int priority() {
+        return mRoute.orElseThrow().priority();
     }
 
     /** The caller went away: whatever works for it is stopped at once. */
@@ -107,7 +118,7 @@
         if (mIsOver) {
             return;
         }
-        mTrace.add(Decision.CALLER_LEFT, now()).with("streamBegun", mStream.isBegun());
+        mLog.callerLeft(mStream.isBegun());
         end(RequestOutcome.CALLER_LEFT);
     }
 
@@ -166,17 +177,17 @@
                         Duration.ofNanos(timeLeftNanos),
                         route.priority(),
                         mProcessedPrompt,
+                        phase == RequestPhase.DECODE
+                                ? Optional.empty()
+                                : mEngine.router()
+                                        .cacheSource(mProfile.orElseThrow(), assignment.endpoint()),
                         mStream.lastEvent());
         if (isPrefill) {
             mPrefillSends++;
         } else {
             mRuns++;
         }
-        mTrace.add(Decision.SENT, now())
-                .with("endpoint", assignment.endpoint().name())
-                .with("phase", phase)
-                .with("timeLeftMillis", millis(timeLeftNanos))
-                .with("endpointRegion", assignment.endpoint().region());
+        mLog.sent(assignment.endpoint(), phase, timeLeftNanos);
         EndpointCall call = mPort.send(assignment.endpoint(), options, attempt);
         attempt.attach(call);
     }
@@ -191,16 +202,7 @@
             return;
         }
         mAttempt = Optional.empty();
-        Decision decision =
-                switch (outcome) {
-                    case NOT_SENT -> Decision.NOT_SENT;
-                    case REJECTED -> Decision.REJECTED;
-                    default -> Decision.BROKEN;
-                };
-        mTrace.add(decision, now())
-                .with("endpoint", attempt.endpoint().name())
-                .with("phase", attempt.phase())
-                .with("cause", cause);
+        mLog.unsuccessful(attempt, outcome, cause);
         if (attempt.phase() == RequestPhase.PREFILL) {
             place();
             return;
@@ -234,9 +236,7 @@
         mProcessedPrompt = Optional.empty();
         mMayHaveRun = true;
         mExcluded.add(attempt.endpoint().name());
-        mTrace.add(Decision.REJECTED, now())
-                .with("endpoint", attempt.endpoint().name())
-                .with("status", head.status());
+        mLog.failureAnswered(attempt, head.status());
         boolean isWorthRetry = head.status() >= 500;
         NextStep step =
                 RetryPolicy.decide(
@@ -247,7 +247,7 @@
                         isWorthRetry && kind().isRepeatable() && maySendAgain());
         if (step == NextStep.PASS_ON && !promisesNotRun(head.status())) {
             mPort.answer(head, body);
-            mTrace.add(Decision.ANSWERED, now()).with("status", head.status());
+            mLog.answered(attempt, head.status(), now() - mArrivedNanos);
             end(RequestOutcome.FAILED_BY_ENDPOINT);
         } else if (step == NextStep.PASS_ON) {
             fail("endpoint ran the request and answered " + head.status());
@@ -272,9 +272,7 @@
                         mRequest.promptTokens(),
                         Duration.ofNanos(now() - attempt.sentNanos()));
         Optional<String> handle = mPort.processedPromptHandle(head, body);
-        mTrace.add(Decision.PROMPT_PROCESSED, now())
-                .with("endpoint", attempt.endpoint().name())
-                .with("hasHandle", handle.isPresent());
+        mLog.promptProcessed(attempt, handle.isPresent());
         mProcessedPrompt = handle.map(name -> new ProcessedPrompt(attempt.endpoint(), name));
         place();
     }
@@ -324,10 +322,7 @@
             mFirstByteNanos = mStream.begunNanos() - mArrivedNanos;
         }
         boolean isOnTime = mFirstByteNanos <= mRoute.orElseThrow().targetLatency().toNanos();
-        mTrace.add(Decision.ANSWERED, now())
-                .with("endpoint", attempt.endpoint().name())
-                .with("status", head.status())
-                .with("firstByteMillis", millis(mFirstByteNanos));
+        mLog.answered(attempt, head.status(), mFirstByteNanos);
         end(isOnTime ? RequestOutcome.SERVED : RequestOutcome.SERVED_LATE);
     }
 
@@ -360,9 +355,7 @@
     private void carryOut(NextStep step, AttemptOutcome outcome, String cause) {
         switch (step) {
             case SEND_AGAIN -> {
-                mTrace.add(mStream.isBegun() ? Decision.RESUMED : Decision.RETRIED, now())
-                        .with("after", outcome)
-                        .with("runs", mRuns);
+                mLog.sendingAgain(mStream.isBegun(), outcome, mRuns);
                 place();
             }
             case REFUSE -> refuse(ResultCode.OVERLOADED, cause, true);
@@ -382,19 +375,19 @@
         if (mStream.isBegun()) {
             breakOff("time is over");
         } else if (mMayHaveRun) {
-            endWith(ResultCode.DEADLINE_EXCEEDED, "no answer in time", Decision.FAILED);
+            endWith(ResultCode.DEADLINE_EXCEEDED, "no answer in time");
         } else {
             refuse(ResultCode.OVERLOADED, "no endpoint began in time", false);
         }
     }
 
     private void fail(String cause) {
-        endWith(ResultCode.OUTCOME_UNKNOWN, cause, Decision.FAILED);
+        endWith(ResultCode.OUTCOME_UNKNOWN, cause);
     }
 
     private void breakOff(String cause) {
         mPort.abort();
-        mTrace.add(Decision.BROKEN_OFF, now()).with("cause", cause).with("runs", mRuns);
+        mLog.brokenOff(cause, mRuns);
         end(RequestOutcome.BROKEN_OFF);
     }
 
@@ -402,19 +395,13 @@
         Optional<Duration> retryAfter =
                 comesBack ? Optional.of(mEngine.settings().retryAfter()) : Optional.empty();
         mPort.refuse(new Refusal(code, cause, retryAfter));
-        mTrace.add(Decision.REFUSED, now())
-                .with("code", code.number())
-                .with("cause", cause)
-                .with("retryAfterMillis", retryAfter.map(Duration::toMillis).orElse(0L));
+        mLog.refused(code, cause, retryAfter);
         end(RequestOutcome.REFUSED);
     }
 
-    private void endWith(ResultCode code, String cause, Decision decision) {
+    private void endWith(ResultCode code, String cause) {
         mPort.refuse(new Refusal(code, cause, Optional.empty()));
-        mTrace.add(decision, now())
-                .with("code", code.number())
-                .with("cause", cause)
-                .with("runs", mRuns);
+        mLog.failed(code, cause, mRuns);
         end(RequestOutcome.FAILED);
     }
 
@@ -427,8 +414,7 @@
         mAttempt.ifPresent(Attempt::cancel);
         mAttempt = Optional.empty();
         releasePrompt();
-        mTrace.end(outcome, mFirstByteNanos, now() - mArrivedNanos);
-        mEngine.ended(mTrace);
+        mEngine.ended(mLog.end(outcome, mFirstByteNanos, now() - mArrivedNanos));
     }
 
     private void releasePrompt() {
@@ -440,11 +426,7 @@
         return mRoute.orElseThrow().kind();
     }
 
-    private long now() {
+    long now() {
         return mEngine.clock().nanoTime();
     }
-
-    private static long millis(long nanos) {
-        return nanos / 1_000_000;
-    }
 }
--- /dev/null
+++ b/request/src/main/java/org/sesamedeck/request/WaitingLine.java
@@ -0,0 +1,66 @@
+package org.sesamedeck.request;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Requests that wait for room at the engines of their service.
+ *
+ * <p>Engines accept more answers than they can produce in time: with each further answer all of
+ * them advance more slowly, until the long ones meet their deadline after having held their place
+ * to the end. So answers are started only while the pace allows it, and the rest waits here, the
+ * more urgent first and within a rank in the order of arrival, so that neither size nor route
+ * decides. Confined to one thread.
+ */
+final class WaitingLine {
+    /** Between two looks at the engines; a look is cheap and an answer ends every few ms. */
+    private static final Duration CHECK = Duration.ofMillis(25);
+
+    private static final Comparator<Entry> ORDER =
+            Comparator.comparingInt((Entry entry) -> entry.priority)
+                    .thenComparingLong(entry -> entry.number);
+
+    private final Timers mTimers;
+    private final TreeSet<Entry> mEntries = new TreeSet<>(ORDER);
+    private Optional<Timers.Timer> mTimer = Optional.empty();
+    private long mNumber;
+
+    /** One waiting request. */
+    private record Entry(int priority, long number, RequestRun run) {}
+
+    WaitingLine(Timers timers) {
+        mTimers = timers;
+    }
+
+    /** Adds a request, which is told when there may be room. */
+    void add(RequestRun run, int priority) {
+        mEntries.add(new Entry(priority, ++mNumber, run));
+        schedule();
+    }
+
+    /** Returns the number of waiting requests that go before one of this priority. */
+    int ahead(int priority) {
+        return mEntries.headSet(new Entry(priority, Long.MAX_VALUE, null), true).size();
+    }
+
+    private void schedule() {
+        if (mTimer.isEmpty() && !mEntries.isEmpty()) {
+            mTimer = Optional.of(mTimers.schedule(CHECK, this::check));
+        }
+    }
+
+    private void check() {
+        mTimer = Optional.empty();
+        while (!mEntries.isEmpty()) {
+            Entry first = mEntries.first();
+            if (!first.run.isOver() && !first.run.startIfRoom()) {
+                break;
+            }
+            mEntries.remove(first);
+        }
+        mEntries.removeIf(entry -> entry.run.isOver());
+        schedule();
+    }
+}
--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -13,6 +13,7 @@
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.EndpointRole;
+import org.sesamedeck.routing.EngineTraits;
 import org.sesamedeck.routing.RouterSettings;
 
 /** A request engine with four servers, four engines and one route of each kind. */
@@ -34,7 +35,11 @@
     RequestFixture(boolean splitsPhases) {
         mRouter =
                 DefaultRouter.create(
-                        mClock, RouterSettings.defaults("east").withStrictRoles(0), "node", 7);
+                        mClock,
+                        RouterSettings.defaults("east")
+                                .withTraits(new EngineTraits(true, false, 64, 0)),
+                        "node",
+                        7);
         DecisionLog log =
                 new DecisionLog() {
                     @Override
--- a/routing/src/main/java/org/sesamedeck/routing/Assignment.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Assignment.java
@@ -14,6 +14,9 @@
     /** Records that the prompt was processed and the first token arrived. */
     void firstToken();
 
+    /** Records that an answer in progress took this long for its latest tokens. */
+    default void progressed(int tokens, long nanos) {}
+
     /** Records a whole answer with the tokens that the endpoint reported; 0 when unknown. */
     void succeeded(long promptTokens, long outputTokens);
 
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -134,6 +134,7 @@
         EndpointChoice choice =
                 new EndpointChoice(mSettings, mPrefixes, mProcesses, profile, phase, excluded);
         if (phase != RequestPhase.DECODE) {
+            choice.considerFetching(table);
             choice.considerPrefixHolders(table);
         }
         choice.considerRole(candidates, EndpointRole.MIXED, nextRandom());
@@ -150,6 +151,35 @@
         return choice;
     }
 
+    @Override
+    public Optional<EndpointDescription> cacheSource(
+            RequestProfile profile, EndpointDescription endpoint) {
+        if (!mSettings.traits().fetchesCaches() || !profile.isModelRequest()) {
+            return Optional.empty();
+        }
+        CacheSource source = CacheSource.find(mPrefixes, mTable, profile, Optional.of(endpoint));
+        double own = mPrefixes.cachedPart(endpoint.name(), profile.prefixHashes());
+        return source.cachedPart() > own ? source.endpoint() : Optional.empty();
+    }
+
+    @Override
+    public boolean hasRoom(RequestProfile profile) {
+        if (mSettings.traits().paceLimitNanos() <= 0 || !profile.isModelRequest()) {
+            return true;
+        }
+        double room = 0;
+        double used = 0;
+        for (EndpointState state : mTable.candidates(profile.target()).all()) {
+            if (!state.isUsable()) {
+                continue;
+            }
+            // Every prompt in progress becomes an answer soon.
+            used += state.runningNow();
+            room += state.description().role() == EndpointRole.PREFILL ? 0 : state.answerRoom();
+        }
+        return used < room;
+    }
+
     @Override
     public synchronized void updateEndpoints(List<EndpointDescription> endpoints) {
         Map<String, EndpointState> known = new HashMap<>(mTable.states());
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.routing;
 
+import java.util.Optional;
 import java.util.Set;
 
 /** One decision: the best endpoint considered so far. */
@@ -15,6 +16,7 @@
     private final RequestProfile mProfile;
     private final RequestPhase mPhase;
     private final Set<String> mExcluded;
+    private double mFetchablePart;
     private EndpointState mBest;
     private double mBestSpaced = Double.POSITIVE_INFINITY;
     private double mBestCost;
@@ -57,6 +59,14 @@
         }
     }
 
+    /** Whoever holds a part of the prompt can give it to the chosen engine. */
+    void considerFetching(EndpointTable table) {
+        if (mSettings.traits().fetchesCaches() && mPhase != RequestPhase.DECODE) {
+            CacheSource source = CacheSource.find(mPrefixes, table, mProfile, Optional.empty());
+            mFetchablePart = source.cachedPart();
+        }
+    }
+
     private boolean serves(EndpointState state) {
         EndpointDescription description = state.description();
         return description.isEngine() && description.models().contains(mProfile.target());
@@ -126,14 +136,15 @@
     }
 
     private boolean acceptsPhase(EndpointDescription description) {
-        return !mSettings.rolesAreStrict()
+        return !mSettings.traits().rolesAreStrict()
                 || description.role() == EndpointRole.MIXED
                 || (mPhase == RequestPhase.PREFILL) == (description.role() == EndpointRole.PREFILL);
     }
 
     private void consider(EndpointState state, double cachedPart) {
+        double available = Math.max(cachedPart, mFetchablePart);
         double uncached =
-                mPhase == RequestPhase.DECODE ? 0 : mProfile.promptTokens() * (1 - cachedPart);
+                mPhase == RequestPhase.DECODE ? 0 : mProfile.promptTokens() * (1 - available);
         double cost = cost(state, uncached);
         double spaced =
                 cost
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -10,9 +10,6 @@
 final class EndpointState {
     private static final double LEARNING_RATE = 0.1;
 
-    /** Batch at which the time between tokens is about twice that of an empty engine. */
-    private static final double BATCH_SCALE = 64;
-
     /** Work known only from reports older than this says nothing about the present. */
     private static final long MAX_REPORT_AGE_NANOS = 15_000_000_000L;
 
@@ -25,10 +22,14 @@
     /** Peers tell their work several times a second; older news are not used. */
     private static final long MAX_PEER_LOAD_AGE_NANOS = 800_000_000L;
 
+    /** Even a slow engine is given some answers, by which it shows that it is faster again. */
+    private static final double MIN_ROOM = 2;
+
     /** Time over which own prompts count as recent; about the age of a late report. */
     private static final double RECENT_NANOS = 1e9;
 
     private final Clock mClock;
+    private final EngineTraits mTraits;
     private final CircuitBreaker mBreaker;
     private final ArrayDeque<RoutedAssignment> mSinceReport = new ArrayDeque<>();
     private volatile EndpointDescription mDescription;
@@ -57,6 +58,7 @@
     EndpointState(Clock clock, RouterSettings settings, EndpointDescription description) {
         mClock = clock;
         mBreaker = CircuitBreaker.create(clock);
+        mTraits = settings.traits();
         mDescription = description;
         mPrefillNanosPerToken = settings.prefillNanosPerToken();
         mDecodeNanosPerToken = settings.decodeNanosPerToken();
@@ -191,11 +193,24 @@
             mPrefillNanosPerToken += rate * (sample - mPrefillNanosPerToken);
         }
         if (outputTokens >= 8 && decodeNanos > 0) {
-            double sample = decodeNanos / (outputTokens - 1.0) / (1 + runningNow() / BATCH_SCALE);
+            double sample =
+                    decodeNanos / (outputTokens - 1.0) / (1 + runningNow() / mTraits.batchScale());
             mDecodeNanosPerToken += LEARNING_RATE * (sample - mDecodeNanosPerToken);
         }
     }
 
+    /** Learns from the pace of an answer that is still in progress. */
+    synchronized void learnPace(int tokens, long nanos) {
+        double sample = (double) nanos / tokens / (1 + runningNow() / mTraits.batchScale());
+        mDecodeNanosPerToken += LEARNING_RATE * (sample - mDecodeNanosPerToken);
+    }
+
+    /** Returns how many answers the engine can produce at the pace that is asked for. */
+    synchronized double answerRoom() {
+        double room = (mTraits.paceLimitNanos() / mDecodeNanosPerToken - 1) * mTraits.batchScale();
+        return Math.max(MIN_ROOM, room);
+    }
+
     /**
      * Returns the expected time until work sent now would begin, in nanoseconds: what was reported,
      * less what the endpoint can have done since, plus what was sent since. This router knows only
@@ -219,8 +234,14 @@
         return Math.max(mSinceReportNanos, reported + processes * mSentSinceReportNanos - age);
     }
 
-    /** Returns the own prompts of about the last second, whether finished or not. */
+    /**
+     * Returns the own prompts of about the last second, whether finished or not; nothing when the
+     * present work of all processes is known.
+     */
     synchronized double recentPromptNanos() {
+        if (knowsPeerLoad()) {
+            return 0;
+        }
         long now = mClock.nanoTime();
         if (now != mRecentAtNanos) {
             mRecentNanos *= Math.exp(-(now - mRecentAtNanos) / RECENT_NANOS);
@@ -246,12 +267,12 @@
 
     /** Returns the expected time between tokens under the present batch, in nanoseconds. */
     synchronized double decodeNanosPerToken() {
-        return mDecodeNanosPerToken * (1 + runningNow() / BATCH_SCALE);
+        return mDecodeNanosPerToken * (1 + runningNow() / mTraits.batchScale());
     }
 
     /** Returns by how much others' answers since the report slow down a token, in nanoseconds. */
     synchronized double othersDecodeNanosPerToken(int processes) {
-        return mDecodeNanosPerToken * (processes - 1) * mSinceReportRunning / BATCH_SCALE;
+        return mDecodeNanosPerToken * (processes - 1) * mSinceReportRunning / mTraits.batchScale();
     }
 
     synchronized double plainNanos() {
--- a/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
@@ -102,6 +102,11 @@
         rememberPrefix();
     }
 
+    @Override
+    public void progressed(int tokens, long nanos) {
+        mEndpoint.learnPace(tokens, nanos);
+    }
+
     @Override
     public synchronized void succeeded(long promptTokens, long outputTokens) {
         if (mHasOutcome) {
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -38,6 +38,20 @@
         return OptionalLong.empty();
     }
 
+    /**
+     * Returns an engine that probably keeps more of the prompt's beginning than the given one, from
+     * which that one can fetch it.
+     */
+    default Optional<EndpointDescription> cacheSource(
+            RequestProfile profile, EndpointDescription endpoint) {
+        return Optional.empty();
+    }
+
+    /** Returns whether another answer can be produced without slowing the others down too much. */
+    default boolean hasRoom(RequestProfile profile) {
+        return true;
+    }
+
     /** Replaces the endpoint table. */
     void updateEndpoints(List<EndpointDescription> endpoints);
 
--- a/routing/src/main/java/org/sesamedeck/routing/RouterSettings.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RouterSettings.java
@@ -13,8 +13,7 @@
  *     is chosen
  * @param prefillNanosPerToken first guess of an engine's time for a prompt token, in nanoseconds
  * @param decodeNanosPerToken first guess of an engine's time between tokens, in nanoseconds
- * @param rolesAreStrict whether engines with the prefill role refuse whole requests and others
- *     refuse the prefill phase; otherwise every engine serves every phase
+ * @param traits what the engines can do
  */
 public record RouterSettings(
         String region,
@@ -26,10 +25,11 @@
         double mismatchFactor,
         double prefillNanosPerToken,
         double decodeNanosPerToken,
-        boolean rolesAreStrict) {
+        EngineTraits traits) {
     /** Returns the defaults for a process in the given region. */
     public static RouterSettings defaults(String region) {
-        return new RouterSettings(region, 200, 20, 3, 2_000, 4.0, 0.5, 100_000, 20_000_000, false);
+        return new RouterSettings(
+                region, 200, 20, 3, 2_000, 4.0, 0.5, 100_000, 20_000_000, EngineTraits.plain());
     }
 
     /** Returns these settings with another region cost, in microseconds per kilobyte. */
@@ -44,7 +44,7 @@
                 mismatchFactor,
                 prefillNanosPerToken,
                 decodeNanosPerToken,
-                rolesAreStrict);
+                traits);
     }
 
     /** Returns these settings with other first guesses of engine speed, in nanoseconds. */
@@ -59,16 +59,11 @@
                 mismatchFactor,
                 prefillNanos,
                 decodeNanos,
-                rolesAreStrict);
+                traits);
     }
 
-    /**
-     * Returns these settings for engines that refuse the other role's phase.
-     *
-     * @param mismatch part of the prompt's time added when an engine without the prefill role
-     *     processes it
-     */
-    public RouterSettings withStrictRoles(double mismatch) {
+    /** Returns these settings for other engines; learned speeds tell what a mismatch costs. */
+    public RouterSettings withTraits(EngineTraits value) {
         return new RouterSettings(
                 region,
                 subsetSize,
@@ -76,10 +71,10 @@
                 candidates,
                 regionMicrosPerKilobyte,
                 bytesPerToken,
-                mismatch,
+                value.rolesAreStrict() ? 0 : mismatchFactor,
                 prefillNanosPerToken,
                 decodeNanosPerToken,
-                true);
+                value);
     }
 
     /** Returns these settings with another number of bytes that a token stands for. */
@@ -94,6 +89,6 @@
                 mismatchFactor,
                 prefillNanosPerToken,
                 decodeNanosPerToken,
-                rolesAreStrict);
+                traits);
     }
 }
