--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
@@ -135,7 +135,7 @@
                     ENGINES,
                     "pace-limit",
                     SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(10)),
-                    "75ms",
+                    "110ms",
                     "Time between tokens beyond which an engine is given no further answer; 0ms for"
                             + " no limit.");
 
--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -28,7 +28,7 @@
     private final PhaseSplitPolicy mPhaseSplit;
     private final Map<String, RetryBudget> mBudgets = new HashMap<>();
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
-    private final WaitingLine mWaiting;
+    private final Map<String, WaitingLine> mWaiting = new HashMap<>();
     private int mActive;
     private boolean mIsStopping;
 
@@ -46,7 +46,6 @@
         mSettings = settings;
         mPhases = phases;
         mPhaseSplit = PhaseSplitPolicy.of(settings);
-        mWaiting = new WaitingLine(timers);
     }
 
     /** Returns an engine that refuses everything until it has a configuration. */
@@ -190,8 +189,8 @@
         return mSettings;
     }
 
-    WaitingLine waiting() {
-        return mWaiting;
+    WaitingLine waitingLine(String service) {
+        return mWaiting.computeIfAbsent(service, name -> new WaitingLine(mTimers));
     }
 
     PhaseObserver phases() {
--- a/request/src/main/java/org/sesamedeck/request/RequestLog.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLog.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.ResultCode;
+import org.sesamedeck.routing.AnswerRoom;
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.RequestPhase;
 
@@ -14,18 +15,21 @@
     private final Clock mClock;
     private final RequestTrace mTrace;
     private final int mPromptTokens;
+    private final int mOutputTokens;
 
-    private RequestLog(Clock clock, RequestTrace trace, int promptTokens) {
+    private RequestLog(Clock clock, RequestTrace trace, int promptTokens, int outputTokens) {
         mClock = clock;
         mTrace = trace;
         mPromptTokens = promptTokens;
+        mOutputTokens = outputTokens;
     }
 
     static RequestLog of(Clock clock, CallerRequest request, Optional<Route> route) {
         return new RequestLog(
                 clock,
                 RequestTrace.of(request.identifier(), route.map(Route::name).orElse("")),
-                request.promptTokens());
+                request.promptTokens(),
+                request.outputTokens());
     }
 
     void admitted(Route route, String service, long configurationVersion, long timeLeftNanos) {
@@ -35,11 +39,15 @@
                 .with("service", service)
                 .with("configurationVersion", configurationVersion)
                 .with("timeLeftMillis", timeLeftNanos / NANOS_PER_MILLI)
-                .with("promptTokens", mPromptTokens);
+                .with("promptTokens", mPromptTokens)
+                .with("outputTokens", mOutputTokens);
     }
 
-    void waiting(int ahead) {
-        add(Decision.WAITING).with("ahead", ahead);
+    void waiting(int ahead, AnswerRoom room) {
+        add(Decision.WAITING)
+                .with("ahead", ahead)
+                .with("answersInProgress", room.inProgress())
+                .with("answerLimit", room.limit());
     }
 
     void sent(EndpointDescription endpoint, RequestPhase phase, long timeLeftNanos) {
--- a/request/src/main/java/org/sesamedeck/request/RequestRun.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestRun.java
@@ -21,6 +21,9 @@
     /** An endpoint needs some time to answer at all; less is not worth sending. */
     private static final Duration MIN_TIME_LEFT = Duration.ofMillis(20);
 
+    /** Answers that hardly take part in a batch need not wait for room in it. */
+    private static final int SHORT_ANSWER_TOKENS = 8;
+
     private final RequestEngine mEngine;
     private final CallerRequest mRequest;
     private final Optional<Route> mRoute;
@@ -93,16 +96,21 @@
                                 .schedule(
                                         Duration.ofNanos(mDeadlineNanos - mArrivedNanos),
                                         this::expire));
-        boolean isFirst = mEngine.waiting().ahead(priority()) == 0;
-        if (!isFirst || !startIfRoom()) {
-            mLog.waiting(mEngine.waiting().ahead(priority()));
-            mEngine.waiting().add(this, priority());
+        if (mRequest.outputTokens() <= SHORT_ANSWER_TOKENS) {
+            place();
+            return;
+        }
+        WaitingLine line = mEngine.waitingLine(mService);
+        int ahead = line.ahead(priority());
+        if (ahead > 0 || !startIfRoom()) {
+            mLog.waiting(ahead, mEngine.router().answerRoom(mProfile.orElseThrow()));
+            line.add(this, priority());
         }
     }
 
     /** Places the request if the engines can take another answer, and returns whether they can. */
     boolean startIfRoom() {
-        boolean hasRoom = mEngine.router().hasRoom(mProfile.orElseThrow());
+        boolean hasRoom = mEngine.router().answerRoom(mProfile.orElseThrow()).isLeft();
         if (hasRoom) {
             place();
         }
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -163,9 +163,9 @@
     }
 
     @Override
-    public boolean hasRoom(RequestProfile profile) {
+    public AnswerRoom answerRoom(RequestProfile profile) {
         if (mSettings.traits().paceLimitNanos() <= 0 || !profile.isModelRequest()) {
-            return true;
+            return AnswerRoom.unlimited();
         }
         double room = 0;
         double used = 0;
@@ -177,7 +177,7 @@
             used += state.runningNow();
             room += state.description().role() == EndpointRole.PREFILL ? 0 : state.answerRoom();
         }
-        return used < room;
+        return new AnswerRoom(used, room);
     }
 
     @Override
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -47,9 +47,9 @@
         return Optional.empty();
     }
 
-    /** Returns whether another answer can be produced without slowing the others down too much. */
-    default boolean hasRoom(RequestProfile profile) {
-        return true;
+    /** Returns how many more answers can be started without slowing the others down too much. */
+    default AnswerRoom answerRoom(RequestProfile profile) {
+        return AnswerRoom.unlimited();
     }
 
     /** Replaces the endpoint table. */
