Learn the length of answers and refuse what would wait too long

Cause: the callers' bound on output says nothing of the length of an answer, so short answers waited for room in the batch; requests waited in line until their deadline.

Change: lengths are learned by route; answers of five events or fewer do not wait; a request waits a fifth of its time at most and is refused at once when the line is longer than that.

--- a/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
+++ b/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
@@ -1,6 +1,9 @@
 package org.sesamedeck.request;
 
 import java.util.OptionalLong;
+import org.sesamedeck.routing.RequestPhase;
+import org.sesamedeck.routing.RequestProfile;
+import org.sesamedeck.routing.Router;
 
 /**
  * Decides whether a prompt is processed by an engine of the prefill role before another engine
@@ -16,27 +19,39 @@
      */
     private static final double DISTURBANCE = 6;
 
+    private final Router mRouter;
     private final boolean mIsEnabled;
     private final long mTransferNanos;
 
-    private PhaseSplitPolicy(boolean isEnabled, long transferNanos) {
+    private PhaseSplitPolicy(Router router, boolean isEnabled, long transferNanos) {
+        mRouter = router;
         mIsEnabled = isEnabled;
         mTransferNanos = transferNanos;
     }
 
-    static PhaseSplitPolicy of(RequestSettings settings) {
-        return new PhaseSplitPolicy(settings.splitsPhases(), settings.transferTime().toNanos());
+    static PhaseSplitPolicy of(Router router, RequestSettings settings) {
+        return new PhaseSplitPolicy(
+                router, settings.splitsPhases(), settings.transferTime().toNanos());
     }
 
     /**
-     * Returns whether to split.
+     * Returns the phase with which a request begins.
      *
-     * @param wholeNanos expected start at one engine, if one can take the whole request
-     * @param prefillNanos expected end of the prompt at an engine of the prefill role, if there is
-     *     one
+     * @param mayPrefill whether the prompt may still be processed apart
      */
-    boolean splits(OptionalLong wholeNanos, OptionalLong prefillNanos) {
-        if (!mIsEnabled || prefillNanos.isEmpty() || wholeNanos.isEmpty()) {
+    RequestPhase firstPhase(RequestProfile profile, boolean mayPrefill) {
+        if (!mIsEnabled || !mayPrefill || !profile.isModelRequest()) {
+            return RequestPhase.WHOLE;
+        }
+        return splits(
+                        mRouter.expectedStartNanos(profile, RequestPhase.WHOLE),
+                        mRouter.expectedStartNanos(profile, RequestPhase.PREFILL))
+                ? RequestPhase.PREFILL
+                : RequestPhase.WHOLE;
+    }
+
+    private boolean splits(OptionalLong wholeNanos, OptionalLong prefillNanos) {
+        if (prefillNanos.isEmpty() || wholeNanos.isEmpty()) {
             return false;
         }
         return prefillNanos.getAsLong() + mTransferNanos < wholeNanos.getAsLong() * DISTURBANCE;
--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -28,6 +28,7 @@
     private final PhaseSplitPolicy mPhaseSplit;
     private final Map<String, RetryBudget> mBudgets = new HashMap<>();
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
+    private final AnswerLengths mLengths = new AnswerLengths();
     private final Map<String, WaitingLine> mWaiting = new HashMap<>();
     private int mActive;
     private boolean mIsStopping;
@@ -45,7 +46,7 @@
         mLog = log;
         mSettings = settings;
         mPhases = phases;
-        mPhaseSplit = PhaseSplitPolicy.of(settings);
+        mPhaseSplit = PhaseSplitPolicy.of(router, settings);
     }
 
     /** Returns an engine that refuses everything until it has a configuration. */
@@ -145,7 +146,7 @@
                 isEngine,
                 MAX_PRIORITY - Math.min(MAX_PRIORITY, Math.max(0, route.priority())),
                 request.promptTokens(),
-                request.outputTokens(),
+                isEngine ? Math.round(mLengths.expected(route.name())) : 0,
                 isEngine ? PromptBlocks.hashes(target, request.promptParts()) : new long[0],
                 Set.of(),
                 0);
@@ -189,8 +190,12 @@
         return mSettings;
     }
 
+    AnswerLengths lengths() {
+        return mLengths;
+    }
+
     WaitingLine waitingLine(String service) {
-        return mWaiting.computeIfAbsent(service, name -> new WaitingLine(mTimers));
+        return mWaiting.computeIfAbsent(service, name -> new WaitingLine(mClock, mTimers));
     }
 
     PhaseObserver phases() {
--- a/request/src/main/java/org/sesamedeck/request/RequestRun.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestRun.java
@@ -22,7 +22,10 @@
     private static final Duration MIN_TIME_LEFT = Duration.ofMillis(20);
 
     /** Answers that hardly take part in a batch need not wait for room in it. */
-    private static final int SHORT_ANSWER_TOKENS = 8;
+    private static final int SHORT_ANSWER_EVENTS = 5;
+
+    /** Part of the time left that may pass in line; later the answer would not end in time. */
+    private static final double WAITING_PART = 0.2;
 
     private final RequestEngine mEngine;
     private final CallerRequest mRequest;
@@ -36,6 +39,7 @@
     private final StreamDelivery mStream;
     private final Set<String> mExcluded = new HashSet<>();
     private Optional<Timers.Timer> mTimer = Optional.empty();
+    private Optional<Timers.Timer> mWaitTimer = Optional.empty();
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<ProcessedPrompt> mProcessedPrompt = Optional.empty();
     private int mRuns;
@@ -96,15 +100,30 @@
                                 .schedule(
                                         Duration.ofNanos(mDeadlineNanos - mArrivedNanos),
                                         this::expire));
-        if (mRequest.outputTokens() <= SHORT_ANSWER_TOKENS) {
+        if (mProfile.orElseThrow().expectedOutputTokens() <= SHORT_ANSWER_EVENTS) {
             place();
             return;
         }
         WaitingLine line = mEngine.waitingLine(mService);
         int ahead = line.ahead(priority());
-        if (ahead > 0 || !startIfRoom()) {
-            mLog.waiting(ahead, mEngine.router().answerRoom(mProfile.orElseThrow()));
-            line.add(this, priority());
+        if (ahead == 0 && startIfRoom()) {
+            return;
+        }
+        Duration longest =
+                Duration.ofNanos((long) ((mDeadlineNanos - mArrivedNanos) * WAITING_PART));
+        mLog.waiting(ahead, mEngine.router().answerRoom(mProfile.orElseThrow()));
+        if (line.expectedWait(ahead).compareTo(longest) > 0) {
+            leaveLine();
+            return;
+        }
+        line.add(this, priority());
+        mWaitTimer = Optional.of(mEngine.timers().schedule(longest, this::leaveLine));
+    }
+
+    /** Tells the caller to come back: an answer that starts later would not end in time. */
+    private void leaveLine() {
+        if (!mIsOver && mAttempt.isEmpty()) {
+            refuse(ResultCode.OVERLOADED, "engines have no room", true);
         }
     }
 
@@ -112,6 +131,7 @@
     boolean startIfRoom() {
         boolean hasRoom = mEngine.router().answerRoom(mProfile.orElseThrow()).isLeft();
         if (hasRoom) {
+            mWaitTimer.ifPresent(Timers.Timer::cancel);
             place();
         }
         return hasRoom;
@@ -136,7 +156,11 @@
             expire();
             return;
         }
-        RequestPhase phase = choosePhase();
+        boolean mayPrefill = mPrefillSends == 0 && mRuns == 0;
+        RequestPhase phase =
+                mProcessedPrompt.isPresent()
+                        ? RequestPhase.DECODE
+                        : mEngine.phaseSplit().firstPhase(mProfile.orElseThrow(), mayPrefill);
         Optional<Assignment> chosen =
                 mEngine.router().choosePhase(mProfile.orElseThrow(), phase, mExcluded);
         if (chosen.isEmpty()) {
@@ -146,24 +170,6 @@
         send(chosen.get(), phase, timeLeft);
     }
 
-    /** A processed prompt is only of use where a whole answer is wanted, not a resumed one. */
-    private RequestPhase choosePhase() {
-        if (mProcessedPrompt.isPresent()) {
-            return RequestPhase.DECODE;
-        }
-        RequestProfile profile = mProfile.orElseThrow();
-        boolean maySplit = profile.isModelRequest() && mPrefillSends == 0 && mRuns == 0;
-        if (maySplit
-                && mEngine.phaseSplit()
-                        .splits(
-                                mEngine.router().expectedStartNanos(profile, RequestPhase.WHOLE),
-                                mEngine.router()
-                                        .expectedStartNanos(profile, RequestPhase.PREFILL))) {
-            return RequestPhase.PREFILL;
-        }
-        return RequestPhase.WHOLE;
-    }
-
     private void nothingToSendTo(RequestPhase phase) {
         if (phase == RequestPhase.PREFILL) {
             mPrefillSends++;
@@ -304,6 +310,7 @@
         mAttempt = Optional.empty();
         mProcessedPrompt = Optional.empty();
         mStream.end(head, now());
+        mEngine.lengths().record(mRoute.orElseThrow().name(), mStream.events());
         mStream.meanPause(now())
                 .ifPresent(
                         pause ->
@@ -419,6 +426,7 @@
         }
         mIsOver = true;
         mTimer.ifPresent(Timers.Timer::cancel);
+        mWaitTimer.ifPresent(Timers.Timer::cancel);
         mAttempt.ifPresent(Attempt::cancel);
         mAttempt = Optional.empty();
         releasePrompt();
--- a/request/src/main/java/org/sesamedeck/request/StreamDelivery.java
+++ b/request/src/main/java/org/sesamedeck/request/StreamDelivery.java
@@ -23,6 +23,11 @@
         return mIsBegun;
     }
 
+    /** Returns the number of events delivered. */
+    int events() {
+        return mEvents;
+    }
+
     /** Returns when the caller received the head, in nanoseconds of monotonic time. */
     long begunNanos() {
         return mBegunNanos;
--- a/request/src/main/java/org/sesamedeck/request/WaitingLine.java
+++ b/request/src/main/java/org/sesamedeck/request/WaitingLine.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.TreeSet;
+import org.sesamedeck.core.Clock;
 
 /**
  * Requests that wait for room at the engines of their service.
@@ -22,15 +23,21 @@
             Comparator.comparingInt((Entry entry) -> entry.priority)
                     .thenComparingLong(entry -> entry.number);
 
+    private static final double LEARNING_RATE = 0.2;
+
+    private final Clock mClock;
     private final Timers mTimers;
     private final TreeSet<Entry> mEntries = new TreeSet<>(ORDER);
     private Optional<Timers.Timer> mTimer = Optional.empty();
+    private Optional<Long> mLastStartNanos = Optional.empty();
+    private double mStartInterval;
     private long mNumber;
 
     /** One waiting request. */
     private record Entry(int priority, long number, RequestRun run) {}
 
-    WaitingLine(Timers timers) {
+    WaitingLine(Clock clock, Timers timers) {
+        mClock = clock;
         mTimers = timers;
     }
 
@@ -45,6 +52,18 @@
         return mEntries.headSet(new Entry(priority, Long.MAX_VALUE, null), true).size();
     }
 
+    /** Estimates how long the last of so many requests waits; zero before anything was learned. */
+    Duration expectedWait(int ahead) {
+        return Duration.ofNanos((long) (ahead * mStartInterval));
+    }
+
+    private void started() {
+        long now = mClock.nanoTime();
+        mLastStartNanos.ifPresent(
+                last -> mStartInterval += LEARNING_RATE * (now - last - mStartInterval));
+        mLastStartNanos = Optional.of(now);
+    }
+
     private void schedule() {
         if (mTimer.isEmpty() && !mEntries.isEmpty()) {
             mTimer = Optional.of(mTimers.schedule(CHECK, this::check));
@@ -55,12 +74,18 @@
         mTimer = Optional.empty();
         while (!mEntries.isEmpty()) {
             Entry first = mEntries.first();
-            if (!first.run.isOver() && !first.run.startIfRoom()) {
-                break;
+            if (!first.run.isOver()) {
+                if (!first.run.startIfRoom()) {
+                    break;
+                }
+                started();
             }
             mEntries.remove(first);
         }
         mEntries.removeIf(entry -> entry.run.isOver());
+        if (mEntries.isEmpty()) {
+            mLastStartNanos = Optional.empty();
+        }
         schedule();
     }
 }
