Tell peers where shared beginnings of prompts lie

Change: the datagrams between processes carry the placements since the last one; the router fetches from whoever holds the longest beginning.

--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -21,9 +21,11 @@
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.routing.EndpointLoad;
 import org.sesamedeck.routing.PeerLoads;
+import org.sesamedeck.routing.PrefixPlacement;
 import org.sesamedeck.routing.Router;
 import org.sesamedeck.wire.generated.EndpointShare;
 import org.sesamedeck.wire.generated.LoadShare;
+import org.sesamedeck.wire.generated.PrefixShare;
 
 /**
  * Tells the other processes by datagrams how much work this one has at each endpoint, and the
@@ -81,9 +83,10 @@
     private void tick() {
         List<EndpointLoad> own = mRouter.ownLoad();
         boolean isIdle = own.isEmpty();
+        List<PrefixPlacement> placements = mRouter.takePlacements();
         // Two idle messages in a row tell the same; the first takes the work off.
-        if (!isIdle || !mWasIdle) {
-            send(own);
+        if (!isIdle || !mWasIdle || !placements.isEmpty()) {
+            send(own, placements);
         }
         mWasIdle = isIdle;
         if (mLoads.peers() > 0) {
@@ -97,7 +100,7 @@
         return spread.compareTo(MIN_INTERVAL) > 0 ? spread : MIN_INTERVAL;
     }
 
-    private void send(List<EndpointLoad> own) {
+    private void send(List<EndpointLoad> own, List<PrefixPlacement> placements) {
         LoadShare.Builder message =
                 LoadShare.newBuilder()
                         .setNode(mNode)
@@ -110,6 +113,12 @@
                             .setWaitingMicros(load.waitingNanos() / NANOS_PER_MICRO)
                             .setRunning(load.running()));
         }
+        for (PrefixPlacement placement : placements) {
+            message.addPrefixes(
+                    PrefixShare.newBuilder()
+                            .setEndpoint(placement.endpoint())
+                            .setHash(placement.hash()));
+        }
         byte[] bytes = message.build().toByteArray();
         for (InetSocketAddress peer : mPeers.values()) {
             mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer));
@@ -167,6 +176,9 @@
                                 share.getWaitingMicros() * NANOS_PER_MICRO,
                                 share.getRunning()));
             }
+            for (PrefixShare share : message.getPrefixesList()) {
+                mRouter.learnPlacement(new PrefixPlacement(share.getEndpoint(), share.getHash()));
+            }
             mLoads.receive(
                     message.getNode(), message.getIncarnation(), message.getSequence(), loads);
         }
--- a/request/src/main/java/org/sesamedeck/request/PromptBlocks.java
+++ b/request/src/main/java/org/sesamedeck/request/PromptBlocks.java
@@ -38,6 +38,15 @@
         return hashes;
     }
 
+    /** Returns how many of the blocks lie within the parts that other requests share. */
+    public static int sharedBlocks(List<PromptPart> parts) {
+        int tokens = 0;
+        for (int i = 0; i < parts.size() - 1; i++) {
+            tokens += Math.max(0, parts.get(i).tokens());
+        }
+        return Math.min(MAX_BLOCKS, tokens / BLOCK_TOKENS);
+    }
+
     private static long mix(long value) {
         long mixed = (value ^ value >>> 32) * MULTIPLIER;
         return mixed ^ mixed >>> 29;
--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -148,6 +148,7 @@
                 request.promptTokens(),
                 isEngine ? Math.round(mLengths.expected(route.name())) : 0,
                 isEngine ? PromptBlocks.hashes(target, request.promptParts()) : new long[0],
+                isEngine ? PromptBlocks.sharedBlocks(request.promptParts()) : 0,
                 Set.of(),
                 0);
     }
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -39,6 +39,7 @@
     private final RendezvousSubset mSubset;
     private final SplittableRandom mRandom;
     private final PrefixIndex mPrefixes = PrefixIndex.create(PREFIX_CAPACITY);
+    private final PlacementNews mNews = new PlacementNews();
     private volatile int mProcesses = 1;
     private volatile EndpointTable mTable = EndpointTable.empty();
 
@@ -108,6 +109,7 @@
                         new RoutedAssignment(
                                 mClock,
                                 mPrefixes,
+                                mNews,
                                 mEstimator,
                                 profile,
                                 best,
@@ -227,6 +229,16 @@
         return loads;
     }
 
+    @Override
+    public List<PrefixPlacement> takePlacements() {
+        return mNews.take();
+    }
+
+    @Override
+    public void learnPlacement(PrefixPlacement placement) {
+        mPrefixes.add(placement.endpoint(), placement.hash());
+    }
+
     @Override
     public void updatePeerLoad(Map<String, EndpointLoad> loads) {
         mTable.states()
--- a/routing/src/main/java/org/sesamedeck/routing/RequestProfile.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RequestProfile.java
@@ -14,6 +14,7 @@
  * @param expectedOutputTokens estimated output tokens; 0 for plain services
  * @param prefixHashes hashes of the prompt's leading blocks, longest last; may be empty
  * @param allowedRegions regions that may serve the request; empty means all
+ * @param sharedBlocks how many of the leading blocks other requests may share
  * @param deadlineNanos monotonic time by which the request must have started, in nanoseconds
  */
 public record RequestProfile(
@@ -25,5 +26,32 @@
         long promptTokens,
         long expectedOutputTokens,
         long[] prefixHashes,
+        int sharedBlocks,
         Set<String> allowedRegions,
-        long deadlineNanos) {}
+        long deadlineNanos) {
+    /** Returns a profile whose blocks may all be shared. */
+    public RequestProfile(
+            String plan,
+            String customer,
+            String target,
+            boolean isModelRequest,
+            int priority,
+            long promptTokens,
+            long expectedOutputTokens,
+            long[] prefixHashes,
+            Set<String> allowedRegions,
+            long deadlineNanos) {
+        this(
+                plan,
+                customer,
+                target,
+                isModelRequest,
+                priority,
+                promptTokens,
+                expectedOutputTokens,
+                prefixHashes,
+                prefixHashes.length,
+                allowedRegions,
+                deadlineNanos);
+    }
+}
--- a/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
@@ -14,6 +14,7 @@
 
     private final Clock mClock;
     private final PrefixIndex mPrefixes;
+    private final PlacementNews mNews;
     private final EngineTimeEstimator mEstimator;
     private final RequestProfile mProfile;
     private final EndpointState mEndpoint;
@@ -27,11 +28,13 @@
     private boolean mSinceReport = true;
     private boolean mHasOutcome;
     private boolean mIsClosed;
+    private boolean mIsRemembered;
     private long mFirstTokenAtNanos;
 
     RoutedAssignment(
             Clock clock,
             PrefixIndex prefixes,
+            PlacementNews news,
             EngineTimeEstimator estimator,
             RequestProfile profile,
             EndpointState endpoint,
@@ -39,6 +42,7 @@
             double uncachedTokens) {
         mClock = clock;
         mPrefixes = prefixes;
+        mNews = news;
         mEstimator = estimator;
         mProfile = profile;
         mEndpoint = endpoint;
@@ -176,5 +180,10 @@
         for (long hash : mProfile.prefixHashes()) {
             mPrefixes.add(mDescription.name(), hash);
         }
+        if (!mIsRemembered && mProfile.sharedBlocks() > 0) {
+            mIsRemembered = true;
+            long hash = mProfile.prefixHashes()[mProfile.sharedBlocks() - 1];
+            mNews.add(new PrefixPlacement(mDescription.name(), hash));
+        }
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -70,6 +70,14 @@
         return List.of();
     }
 
+    /** Returns where shared beginnings of prompts were placed since the last call. */
+    default List<PrefixPlacement> takePlacements() {
+        return List.of();
+    }
+
+    /** Takes the news of a placement by another process. */
+    default void learnPlacement(PrefixPlacement placement) {}
+
     /** Takes the work of all other processes together, by endpoint; valid for a short time. */
     default void updatePeerLoad(Map<String, EndpointLoad> loads) {}
 
