--- a/gateway/src/main/java/org/sesamedeck/gateway/JsonDecisionLog.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/JsonDecisionLog.java
@@ -95,7 +95,7 @@
     }
 
     private void append(Optional<String> request, LogEntry entry) {
-        if (mQueue.getRemainingCapacity() <= 1) {
+        if (!hasSpace()) {
             mDropped++;
             return;
         }
@@ -112,6 +112,11 @@
         return new LogLine(time, request, entry);
     }
 
+    /** Returns whether a line would be taken now. */
+    boolean hasSpace() {
+        return mQueue.getRemainingCapacity() > 1;
+    }
+
     /** Returns the number of requests whose lines were left out. */
     public synchronized long sampledOut() {
         return mSampledOut;
--- /dev/null
+++ b/gateway/src/test/java/org/sesamedeck/gateway/SilentLog.java
@@ -0,0 +1,25 @@
+package org.sesamedeck.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.sesamedeck.request.Decision;
+import org.sesamedeck.request.DecisionLog;
+import org.sesamedeck.request.LogEntry;
+import org.sesamedeck.request.RequestTrace;
+
+/** Keeps what was logged, for tests that look at it. */
+final class SilentLog implements DecisionLog {
+    private final List<Decision> mDecisions = new ArrayList<>();
+
+    @Override
+    public void record(LogEntry entry) {
+        mDecisions.add(entry.decision());
+    }
+
+    @Override
+    public void requestEnded(RequestTrace trace) {}
+
+    List<Decision> decisions() {
+        return mDecisions;
+    }
+}
