--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -3,8 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -12,6 +14,7 @@
 import org.sesamedeck.core.ManualClock;
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.EndpointDescription;
+import org.sesamedeck.routing.EndpointLoad;
 import org.sesamedeck.routing.EndpointRole;
 import org.sesamedeck.routing.EngineTraits;
 import org.sesamedeck.routing.RouterSettings;
@@ -30,16 +33,22 @@
     private final DefaultRouter mRouter;
     private final RequestEngine mEngine;
     private final List<RequestTrace> mTraces = new ArrayList<>();
+    private final Map<String, EndpointLoad> mPeerLoads = new HashMap<>();
     private int mRequests;
 
     RequestFixture(boolean splitsPhases) {
+        this(splitsPhases, new EngineTraits(true, false, 64, 0));
+    }
+
+    /** Returns a fixture whose three engines for answers have room for two answers each. */
+    static RequestFixture withPaceLimit() {
+        return new RequestFixture(false, new EngineTraits(true, false, 64, 1));
+    }
+
+    private RequestFixture(boolean splitsPhases, EngineTraits traits) {
         mRouter =
                 DefaultRouter.create(
-                        mClock,
-                        RouterSettings.defaults("east")
-                                .withTraits(new EngineTraits(true, false, 64, 0)),
-                        "node",
-                        7);
+                        mClock, RouterSettings.defaults("east").withTraits(traits), "node", 7);
         DecisionLog log =
                 new DecisionLog() {
                     @Override
@@ -155,6 +164,12 @@
                 port);
     }
 
+    /** Tells the router of the work of other processes at one endpoint more. */
+    void peerLoad(EndpointLoad load) {
+        mPeerLoads.put(load.endpoint(), load);
+        mRouter.updatePeerLoad(mPeerLoads);
+    }
+
     RequestEngine engine() {
         return mEngine;
     }
--- /dev/null
+++ b/request/src/test/java/org/sesamedeck/request/WaitingTest.java
@@ -0,0 +1,80 @@
+package org.sesamedeck.request;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.sesamedeck.core.ResultCode;
+import org.sesamedeck.routing.EndpointLoad;
+
+/** A burst of long answers at engines that can produce few of them in time. */
+class WaitingTest {
+    private final RequestFixture mFixture = RequestFixture.withPaceLimit().configure();
+
+    private List<RecordingPort> burst(RequestKind kind, int count) {
+        List<RecordingPort> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            RecordingPort port = new RecordingPort();
+            mFixture.start(kind, port);
+            ports.add(port);
+        }
+        return ports;
+    }
+
+    private static long sent(List<RecordingPort> ports) {
+        return ports.stream().filter(port -> !port.calls().isEmpty()).count();
+    }
+
+    /** Guards against answers that all become too slow to end in time. */
+    @Test
+    void answersBeyondThePaceWaitAndStartWhenOthersEnd() {
+        List<RecordingPort> ports = burst(RequestKind.STREAM, 12);
+        long started = sent(ports);
+        assertThat(started < 12, is(true));
+        finish(ports.get(0));
+        mFixture.timers().advance(Duration.ofMillis(60));
+        assertThat(sent(ports), is(started + 1));
+    }
+
+    /** Guards against callers that are held until their deadline for nothing. */
+    @Test
+    void whatWaitsTooLongIsToldToComeBack() {
+        List<RecordingPort> ports = burst(RequestKind.STREAM, 12);
+        mFixture.timers().advance(Duration.ofSeconds(2));
+        List<RecordingPort> refused =
+                ports.stream().filter(port -> port.refusal().isPresent()).toList();
+        assertThat(refused, hasSize((int) (12 - sent(ports))));
+        for (RecordingPort port : refused) {
+            assertThat(port.refusal().map(Refusal::code), is(Optional.of(ResultCode.OVERLOADED)));
+            assertThat(port.refusal().flatMap(Refusal::retryAfter).isPresent(), is(true));
+        }
+    }
+
+    /** Guards against requests to plain services that wait behind answers of engines. */
+    @Test
+    void otherServicesDoNotWait() {
+        burst(RequestKind.STREAM, 12);
+        assertThat(sent(burst(RequestKind.REPEATABLE, 5)), is(5L));
+    }
+
+    /** Guards against room that is given away while peers have taken it. */
+    @Test
+    void answersOfPeersTakeRoom() {
+        for (int i = 1; i < 4; i++) {
+            mFixture.peerLoad(new EndpointLoad("engine-" + i, 0, 50));
+        }
+        assertThat(sent(burst(RequestKind.STREAM, 3)), is(0L));
+    }
+
+    private static void finish(RecordingPort port) {
+        CallListener listener = port.lastCall().listener();
+        listener.answered(RequestFixture.head(200));
+        listener.body(RequestFixture.event(1));
+        listener.ended();
+    }
+}
