Trace a request through the logs; check the gateway's settings page

Cause: nothing put the lines of one request from several processes in order.

Change: bin/sesamedeck trace REQUEST-ID FILE... orders them, tells the cause and says when lines were dropped; the settings reference moved to core and covers the gateway; a test holds the template against the settings.

--- a/daemon/src/main/java/org/sesamedeck/daemon/SettingsReference.java
+++ b/core/src/main/java/org/sesamedeck/core/SettingsReference.java
@@ -1,7 +1,6 @@
-package org.sesamedeck.daemon;
+package org.sesamedeck.core;
 
 import java.util.List;
-import org.sesamedeck.core.Setting;
 
 /** Writes the settings of a daemon as the table that docs/settings.md holds. */
 public final class SettingsReference {
--- a/entry/src/test/java/org/sesamedeck/entry/SettingsReferenceTest.java
+++ b/entry/src/test/java/org/sesamedeck/entry/SettingsReferenceTest.java
@@ -7,7 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
-import org.sesamedeck.daemon.SettingsReference;
+import org.sesamedeck.core.SettingsReference;
 
 class SettingsReferenceTest {
     /** Guards against a settings page that names keys, limits or defaults of another version. */
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
@@ -15,16 +15,16 @@
 
     /** Name of the process. */
     public static final Setting<String> NAME =
-            Setting.required(NODE, "name", SettingTypes.name(), "Name of this process.");
+            Setting.required(NODE, "name", SettingTypes.text(), "Name of this process.");
 
     /** Failure domain of the host. */
     public static final Setting<String> FAILURE_DOMAIN =
             Setting.required(
-                    NODE, "failure-domain", SettingTypes.name(), "Failure domain of this host.");
+                    NODE, "failure-domain", SettingTypes.text(), "Failure domain of this host.");
 
     /** Region of the host. */
     public static final Setting<String> REGION =
-            Setting.required(NODE, "region", SettingTypes.name(), "Region of this host.");
+            Setting.required(NODE, "region", SettingTypes.text(), "Region of this host.");
 
     /** Where callers connect. */
     public static final Setting<HostAddress> CALLERS =
--- a/operator/src/main/java/org/sesamedeck/operator/OperatorMain.java
+++ b/operator/src/main/java/org/sesamedeck/operator/OperatorMain.java
@@ -57,6 +57,7 @@
                 .addSubcommand(ApplyCommand.of(context))
                 .addSubcommand(StatusCommand.of(context))
                 .addSubcommand(AuditCommand.of(context))
+                .addSubcommand(new TraceCommand())
                 .setCaseInsensitiveEnumValuesAllowed(true)
                 .setExecutionExceptionHandler(
                         (failure, command, result) -> report(failure, command.getErr()));
