Share the retry slack among the processes

Change: each process takes an equal part of 0.7 of the slack, by the number of registered processes, at least 2.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -28,6 +28,9 @@
 public final class GatewayDaemon {
     private static final Duration IDLE_CHECK = Duration.ofSeconds(1);
 
+    /** Part of the common slack that is used; processes learn of each other at different times. */
+    private static final double SLACK_USED = 0.7;
+
     /** Bytes of a prompt token on the wire. */
     private static final double BYTES_PER_TOKEN = 1;
 
@@ -82,7 +85,8 @@
                         mRouter,
                         name,
                         settings.get(GatewaySettings.PEERS),
-                        new SecureRandom().nextLong());
+                        new SecureRandom().nextLong(),
+                        this::processesCounted);
         mEngine =
                 RequestEngine.create(
                         clock,
@@ -216,6 +220,13 @@
         mControl.execute(() -> mRoles.wish(service, role, engines));
     }
 
+    /** The bound on repeats is one for all processes; each takes an equal part of most of it. */
+    private void processesCounted(int processes) {
+        double part = mSettings.get(GatewaySettings.RETRY_SLACK) * SLACK_USED / processes;
+        double saved = Math.max(mSettings.get(GatewaySettings.RETRY_BURST), part);
+        mTraffic.execute(() -> mEngine.limitSavedRetries(saved));
+    }
+
     private void reportReady() {
         if (isReady() && !mWasReady) {
             mWasReady = true;
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
@@ -66,6 +66,16 @@
                     "2",
                     "Repeats that this process may send to a service beyond the ratio.");
 
+    /** Repeats that all processes together may send beyond the ratio. */
+    public static final Setting<Double> RETRY_SLACK =
+            Setting.optional(
+                    RETRY,
+                    "slack",
+                    SettingTypes.decimal(0, 1_000_000),
+                    "0",
+                    "Repeats that all processes together may send to a service beyond the ratio;"
+                            + " shared out among them, at least the burst each.");
+
     /** When a refused caller comes back. */
     public static final Setting<Duration> RETRY_AFTER =
             Setting.optional(
@@ -162,6 +172,7 @@
                 STORE,
                 RETRY_RATIO,
                 RETRY_BURST,
+                RETRY_SLACK,
                 RETRY_AFTER,
                 SPLIT_PHASES,
                 TRANSFER_TIME,
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.routing.EndpointLoad;
@@ -46,19 +47,27 @@
     private final String mNode;
     private final long mIncarnation;
     private final HostAddress mOwnAddress;
+    private final IntConsumer mProcesses;
     private final PeerLoads mLoads;
     private final Map<String, InetSocketAddress> mPeers = new HashMap<>();
     private Channel mChannel;
     private long mSequence;
     private boolean mWasIdle;
 
+    /**
+     * Creates an exchange that has not started.
+     *
+     * @param processes takes the number of registered processes, this one included
+     */
     PeerExchange(
             EventLoop loop,
             Clock clock,
             Router router,
             String node,
             HostAddress ownAddress,
-            long incarnation) {
+            long incarnation,
+            IntConsumer processes) {
+        mProcesses = processes;
         mLoop = loop;
         mRouter = router;
         mNode = node;
@@ -142,6 +151,7 @@
                 mPeers.remove(item.name());
             }
         }
+        mProcesses.accept(mPeers.size() + 1);
     }
 
     @Override
--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -30,6 +30,7 @@
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
     private final AnswerLengths mLengths = new AnswerLengths();
     private final Map<String, WaitingLine> mWaiting = new HashMap<>();
+    private double mSavedRetries;
     private int mActive;
     private boolean mIsStopping;
 
@@ -45,6 +46,7 @@
         mRouter = router;
         mLog = log;
         mSettings = settings;
+        mSavedRetries = settings.savedRetries();
         mPhases = phases;
         mPhaseSplit = PhaseSplitPolicy.of(router, settings);
     }
@@ -79,6 +81,12 @@
         return mConfiguration;
     }
 
+    /** Changes how many retries this process may save for each service. */
+    public void limitSavedRetries(double savedRetries) {
+        mSavedRetries = savedRetries;
+        mBudgets.values().forEach(budget -> budget.limitSaved(savedRetries));
+    }
+
     /** Refuses requests from now on; those in progress go on. */
     public void stopAccepting() {
         mIsStopping = true;
@@ -167,7 +175,7 @@
 
     RetryBudget budgetOf(String service) {
         return mBudgets.computeIfAbsent(
-                service, name -> RetryBudget.of(mSettings.retryRatio(), mSettings.savedRetries()));
+                service, name -> RetryBudget.of(mSettings.retryRatio(), mSavedRetries));
     }
 
     void ended(RequestTrace trace) {
--- a/routing/src/main/java/org/sesamedeck/routing/RetryBudget.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RetryBudget.java
@@ -9,7 +9,7 @@
     private static final double MAX_SAVED = 10;
 
     private final double mRatio;
-    private final double mMaxSaved;
+    private double mMaxSaved;
     private double mSaved;
 
     private RetryBudget(double ratio, double maxSaved) {
@@ -49,6 +49,12 @@
         return new RetryBudget(ratio, maxSaved);
     }
 
+    /** Changes how many retries may be saved, as when the number of processes changes. */
+    public synchronized void limitSaved(double maxSaved) {
+        mMaxSaved = maxSaved;
+        mSaved = Math.min(mSaved, maxSaved);
+    }
+
     /** Records a request of a caller; retries do not count. */
     public synchronized void recordRequest() {
         mSaved = Math.min(mMaxSaved, mSaved + mRatio);
