--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.request;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -140,7 +141,8 @@
     private RequestRun refused(
             CallerRequest request, RequestPort port, ResultCode code, String message) {
         RequestRun run = RequestRun.withoutRoute(this, request, port);
-        run.refuse(code, message, code.isRetryable());
+        Optional<Duration> retryAfter = code.isRetryable() ? usualReturn() : Optional.empty();
+        run.refuse(code, message, retryAfter);
         return run;
     }
 
@@ -173,6 +175,11 @@
         return Set.copyOf(targets);
     }
 
+    /** Returns when a refused caller should come back if nothing better is known. */
+    Optional<Duration> usualReturn() {
+        return Optional.of(mSettings.retryAfter());
+    }
+
     RetryBudget budgetOf(String service) {
         return mBudgets.computeIfAbsent(
                 service, name -> RetryBudget.of(mSettings.retryRatio(), mSavedRetries));
--- a/request/src/main/java/org/sesamedeck/request/RequestRun.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestRun.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.routing.Assignment;
+import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.LoadReport;
 import org.sesamedeck.routing.RequestPhase;
 import org.sesamedeck.routing.RequestProfile;
@@ -24,9 +25,6 @@
     /** Answers that hardly take part in a batch need not wait for room in it. */
     private static final int SHORT_ANSWER_EVENTS = 5;
 
-    /** Part of the time left that may pass in line; later the answer would not end in time. */
-    private static final double WAITING_PART = 0.2;
-
     private final RequestEngine mEngine;
     private final CallerRequest mRequest;
     private final Optional<Route> mRoute;
@@ -39,7 +37,6 @@
     private final StreamDelivery mStream;
     private final Set<String> mExcluded = new HashSet<>();
     private Optional<Timers.Timer> mTimer = Optional.empty();
-    private Optional<Timers.Timer> mWaitTimer = Optional.empty();
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<ProcessedPrompt> mProcessedPrompt = Optional.empty();
     private int mRuns;
@@ -109,21 +106,22 @@
         if (ahead == 0 && startIfRoom()) {
             return;
         }
-        Duration longest =
-                Duration.ofNanos((long) ((mDeadlineNanos - mArrivedNanos) * WAITING_PART));
         mLog.waiting(ahead, mEngine.router().answerRoom(mProfile.orElseThrow()));
-        if (line.expectedWait(ahead).compareTo(longest) > 0) {
+        if (!line.enter(this, priority(), Duration.ofNanos(mDeadlineNanos - mArrivedNanos))) {
             leaveLine();
-            return;
         }
-        line.add(this, priority());
-        mWaitTimer = Optional.of(mEngine.timers().schedule(longest, this::leaveLine));
     }
 
     /** Tells the caller to come back: an answer that starts later would not end in time. */
-    private void leaveLine() {
+    void leaveLine() {
         if (!mIsOver && mAttempt.isEmpty()) {
-            refuse(ResultCode.OVERLOADED, "engines have no room", true);
+            Optional<Duration> retryAfter =
+                    mEngine.waitingLine(mService)
+                            .returnTime(
+                                    priority(),
+                                    mEngine.settings().retryAfter(),
+                                    mRequest.identifier());
+            refuse(ResultCode.OVERLOADED, "engines have no room", retryAfter);
         }
     }
 
@@ -131,7 +129,6 @@
     boolean startIfRoom() {
         boolean hasRoom = mEngine.router().answerRoom(mProfile.orElseThrow()).isLeft();
         if (hasRoom) {
-            mWaitTimer.ifPresent(Timers.Timer::cancel);
             place();
         }
         return hasRoom;
@@ -185,16 +182,19 @@
         Attempt attempt =
                 new Attempt(this, assignment, phase, route.kind().isStream() && !isPrefill, now());
         mAttempt = Optional.of(attempt);
+        Optional<EndpointDescription> cacheSource =
+                phase == RequestPhase.DECODE
+                        ? Optional.empty()
+                        : mEngine.router()
+                                .cacheSource(mProfile.orElseThrow(), assignment.endpoint());
+        Duration timeLeft = Duration.ofNanos(timeLeftNanos);
         CallOptions options =
                 new CallOptions(
                         phase,
-                        Duration.ofNanos(timeLeftNanos),
+                        timeLeft,
                         route.priority(),
                         mProcessedPrompt,
-                        phase == RequestPhase.DECODE
-                                ? Optional.empty()
-                                : mEngine.router()
-                                        .cacheSource(mProfile.orElseThrow(), assignment.endpoint()),
+                        cacheSource,
                         mStream.lastEvent());
         if (isPrefill) {
             mPrefillSends++;
@@ -373,7 +373,7 @@
                 mLog.sendingAgain(mStream.isBegun(), outcome, mRuns);
                 place();
             }
-            case REFUSE -> refuse(ResultCode.OVERLOADED, cause, true);
+            case REFUSE -> refuse(ResultCode.OVERLOADED, cause, mEngine.usualReturn());
             case BREAK_OFF -> breakOff(cause);
             default -> fail(cause);
         }
@@ -392,7 +392,7 @@
         } else if (mMayHaveRun) {
             endWith(ResultCode.DEADLINE_EXCEEDED, "no answer in time");
         } else {
-            refuse(ResultCode.OVERLOADED, "no endpoint began in time", false);
+            refuse(ResultCode.OVERLOADED, "no endpoint began in time", Optional.empty());
         }
     }
 
@@ -406,9 +406,7 @@
         end(RequestOutcome.BROKEN_OFF);
     }
 
-    void refuse(ResultCode code, String cause, boolean comesBack) {
-        Optional<Duration> retryAfter =
-                comesBack ? Optional.of(mEngine.settings().retryAfter()) : Optional.empty();
+    void refuse(ResultCode code, String cause, Optional<Duration> retryAfter) {
         mPort.refuse(new Refusal(code, cause, retryAfter));
         mLog.refused(code, cause, retryAfter);
         end(RequestOutcome.REFUSED);
@@ -426,7 +424,6 @@
         }
         mIsOver = true;
         mTimer.ifPresent(Timers.Timer::cancel);
-        mWaitTimer.ifPresent(Timers.Timer::cancel);
         mAttempt.ifPresent(Attempt::cancel);
         mAttempt = Optional.empty();
         releasePrompt();
--- a/request/src/main/java/org/sesamedeck/request/WaitingLine.java
+++ b/request/src/main/java/org/sesamedeck/request/WaitingLine.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
 import org.sesamedeck.core.Clock;
@@ -25,6 +26,9 @@
 
     private static final double LEARNING_RATE = 0.2;
 
+    /** Part of the time left that may pass in line; later the answer would not end in time. */
+    private static final double WAITING_PART = 0.2;
+
     private final Clock mClock;
     private final Timers mTimers;
     private final TreeSet<Entry> mEntries = new TreeSet<>(ORDER);
@@ -34,22 +38,33 @@
     private long mNumber;
 
     /** One waiting request. */
-    private record Entry(int priority, long number, RequestRun run) {}
+    private record Entry(int priority, long number, RequestRun run, Timers.Timer leaving) {}
 
     WaitingLine(Clock clock, Timers timers) {
         mClock = clock;
         mTimers = timers;
     }
 
-    /** Adds a request, which is told when there may be room. */
-    void add(RequestRun run, int priority) {
-        mEntries.add(new Entry(priority, ++mNumber, run));
+    /**
+     * Adds a request, which is told when there is room or when it has waited too long.
+     *
+     * @param timeLeft time until the request's deadline
+     * @return false when the line is too long for it; it is not added then
+     */
+    boolean enter(RequestRun run, int priority, Duration timeLeft) {
+        Duration longest = Duration.ofNanos((long) (timeLeft.toNanos() * WAITING_PART));
+        if (expectedWait(ahead(priority)).compareTo(longest) > 0) {
+            return false;
+        }
+        Timers.Timer leaving = mTimers.schedule(longest, run::leaveLine);
+        mEntries.add(new Entry(priority, ++mNumber, run, leaving));
         schedule();
+        return true;
     }
 
     /** Returns the number of waiting requests that go before one of this priority. */
     int ahead(int priority) {
-        return mEntries.headSet(new Entry(priority, Long.MAX_VALUE, null), true).size();
+        return mEntries.headSet(new Entry(priority, Long.MAX_VALUE, null, null), true).size();
     }
 
     /** Estimates how long the last of so many requests waits; zero before anything was learned. */
@@ -57,6 +72,11 @@
         return Duration.ofNanos((long) (ahead * mStartInterval));
     }
 
+    /** Returns when a caller that is refused now should come back. */
+    Optional<Duration> returnTime(int priority, Duration shortest, String identifier) {
+        return Optional.of(ReturnTime.of(shortest, expectedWait(ahead(priority)), identifier));
+    }
+
     private void started() {
         long now = mClock.nanoTime();
         mLastStartNanos.ifPresent(
@@ -70,6 +90,11 @@
         }
     }
 
+    private void leave(Entry entry) {
+        entry.leaving.cancel();
+        mEntries.remove(entry);
+    }
+
     private void check() {
         mTimer = Optional.empty();
         while (!mEntries.isEmpty()) {
@@ -80,9 +105,9 @@
                 }
                 started();
             }
-            mEntries.remove(first);
+            leave(first);
         }
-        mEntries.removeIf(entry -> entry.run.isOver());
+        List.copyOf(mEntries).stream().filter(entry -> entry.run.isOver()).forEach(this::leave);
         if (mEntries.isEmpty()) {
             mLastStartNanos = Optional.empty();
         }
