Keep the lines of requests that their callers left

Change: only requests served on time are sampled.

Conclusion: found while an incident was read by its log; test included.

--- a/gateway/src/main/java/org/sesamedeck/gateway/JsonDecisionLog.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/JsonDecisionLog.java
@@ -82,8 +82,7 @@
         if (Math.floorMod(trace.identifier().hashCode(), SAMPLE) == 0) {
             return true;
         }
-        RequestOutcome outcome = trace.outcome();
-        if (outcome == RequestOutcome.SERVED || outcome == RequestOutcome.CALLER_LEFT) {
+        if (trace.outcome() == RequestOutcome.SERVED) {
             return false;
         }
         long now = mClock.nanoTime();
--- a/gateway/src/test/java/org/sesamedeck/gateway/JsonDecisionLogTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/JsonDecisionLogTest.java
@@ -12,6 +12,7 @@
 import org.sesamedeck.core.SystemClock;
 import org.sesamedeck.request.Decision;
 import org.sesamedeck.request.LogEntry;
+import org.sesamedeck.request.RequestOutcome;
 import org.sesamedeck.request.RequestTrace;
 
 class JsonDecisionLogTest {
@@ -57,6 +58,21 @@
         assertThat(admitted, is(answered));
     }
 
+    /** Guards against callers that gave up at their deadline and leave no trace. */
+    @Test
+    void requestThatItsCallerLeftIsKept() {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        JsonDecisionLog log = JsonDecisionLog.create(mClock, "node", output);
+        for (int i = 0; i < 20; i++) {
+            RequestTrace trace = RequestTrace.of("left-" + i, "route");
+            trace.add(Decision.CALLER_LEFT, mClock.nanoTime());
+            trace.end(RequestOutcome.CALLER_LEFT, 0, 1);
+            log.requestEnded(trace);
+        }
+        log.close();
+        assertThat(output.toString(StandardCharsets.UTF_8).lines().count(), is(20L));
+    }
+
     /** Guards against lines that are no JSON. */
     @Test
     void valuesAreEscaped() {
--- a/request/src/main/java/org/sesamedeck/request/RequestTrace.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestTrace.java
@@ -40,7 +40,7 @@
     }
 
     /** Sets how the request ended, with the times since its arrival in nanoseconds. */
-    void end(RequestOutcome outcome, long firstByteNanos, long totalNanos) {
+    public void end(RequestOutcome outcome, long firstByteNanos, long totalNanos) {
         mOutcome = outcome;
         mFirstByteNanos = firstByteNanos;
         mTotalNanos = totalNanos;
