--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
@@ -26,7 +26,6 @@
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.sesamedeck.core.Clock;
 import org.sesamedeck.request.RequestEngine;
 import org.sesamedeck.request.TrafficLimits;
 
@@ -40,7 +39,6 @@
     private static final int MAX_PIPELINED = 16;
 
     private final CallerServer mServer;
-    private final Clock mClock;
     private final CallerFormat mFormat;
     private final RequestEngine mEngine;
     private final EndpointClient mEndpoints;
@@ -56,12 +54,10 @@
 
     CallerConnection(
             CallerServer server,
-            Clock clock,
             CallerFormat format,
             RequestEngine engine,
             EndpointClient endpoints) {
         mServer = server;
-        mClock = clock;
         mFormat = format;
         mEngine = engine;
         mEndpoints = endpoints;
@@ -199,8 +195,7 @@
             waitForRequest();
             return;
         }
-        CallerExchange exchange =
-                new CallerExchange(this, mContext, mClock, mFormat, mEndpoints, request);
+        CallerExchange exchange = new CallerExchange(this, mContext, mFormat, mEndpoints, request);
         mExchange = Optional.of(exchange);
         exchange.start(mEngine);
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerExchange.java
@@ -23,7 +23,6 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
-import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.SesamedeckException;
 import org.sesamedeck.request.AnswerHead;
 import org.sesamedeck.request.CallListener;
@@ -41,7 +40,6 @@
 final class CallerExchange implements RequestPort {
     private final CallerConnection mConnection;
     private final ChannelHandlerContext mContext;
-    private final Clock mClock;
     private final CallerFormat mFormat;
     private final EndpointClient mEndpoints;
     private final HttpRequest mHead;
@@ -55,13 +53,11 @@
     CallerExchange(
             CallerConnection connection,
             ChannelHandlerContext context,
-            Clock clock,
             CallerFormat format,
             EndpointClient endpoints,
             ReceivedRequest request) {
         mConnection = connection;
         mContext = context;
-        mClock = clock;
         mFormat = format;
         mEndpoints = endpoints;
         mHead = request.head();
--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerServer.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.HashSet;
 import java.util.Set;
-import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.request.RequestEngine;
 import org.sesamedeck.request.ServingConfiguration;
@@ -21,7 +20,6 @@
     private static final int BACKLOG = 1024;
 
     private final EventLoop mLoop;
-    private final Clock mClock;
     private final CallerFormat mFormat;
     private final RequestEngine mEngine;
     private final EndpointClient mEndpoints;
@@ -30,13 +28,8 @@
     private boolean mIsStopping;
 
     private CallerServer(
-            EventLoop loop,
-            Clock clock,
-            CallerFormat format,
-            RequestEngine engine,
-            EndpointClient endpoints) {
+            EventLoop loop, CallerFormat format, RequestEngine engine, EndpointClient endpoints) {
         mLoop = loop;
-        mClock = clock;
         mFormat = format;
         mEngine = engine;
         mEndpoints = endpoints;
@@ -44,12 +37,8 @@
 
     /** Returns a server that does not listen yet. */
     public static CallerServer create(
-            EventLoop loop,
-            Clock clock,
-            CallerFormat format,
-            RequestEngine engine,
-            EndpointClient endpoints) {
-        return new CallerServer(loop, clock, format, engine, endpoints);
+            EventLoop loop, CallerFormat format, RequestEngine engine, EndpointClient endpoints) {
+        return new CallerServer(loop, format, engine, endpoints);
     }
 
     /**
@@ -78,8 +67,7 @@
 
     private void addHandlers(Channel channel) {
         TrafficLimits limits = limits();
-        CallerConnection connection =
-                new CallerConnection(this, mClock, mFormat, mEngine, mEndpoints);
+        CallerConnection connection = new CallerConnection(this, mFormat, mEngine, mEndpoints);
         channel.pipeline()
                 .addLast(
                         new ByteArrivalHandler(connection),
--- a/gateway/src/main/java/org/sesamedeck/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/EndpointClient.java
@@ -14,7 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.HostAddress;
@@ -65,8 +65,7 @@
             String requestIdentifier,
             HttpEndpointCall.Listener listener) {
         HttpEndpointCall call =
-                new HttpEndpointCall(
-                        this, mClock, mFormat, address, request, requestIdentifier, listener);
+                new HttpEndpointCall(mClock, mFormat, request, requestIdentifier, listener);
         EndpointConnection idle = takeIdle(address);
         if (idle != null) {
             idle.begin(call);
@@ -152,19 +151,20 @@
 
     /** Closes idle connections whose promised time is nearly over. */
     void closeExpired() {
-        for (ArrayDeque<EndpointConnection> idle : Map.copyOf(mIdle).values()) {
-            for (Iterator<EndpointConnection> each = new ArrayDeque<>(idle).iterator();
-                    each.hasNext(); ) {
-                EndpointConnection connection = each.next();
-                if (!connection.isReusable()) {
-                    connection.close();
-                }
+        for (EndpointConnection connection : idleConnections()) {
+            if (!connection.isReusable()) {
+                connection.close();
             }
         }
     }
 
+    /** Returns a copy, since closing a connection removes it. */
+    private List<EndpointConnection> idleConnections() {
+        return mIdle.values().stream().flatMap(ArrayDeque::stream).toList();
+    }
+
     @Override
     public void close() {
-        Map.copyOf(mIdle).values().forEach(idle -> new ArrayDeque<>(idle).forEach(c -> c.close()));
+        idleConnections().forEach(EndpointConnection::close);
     }
 }
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -97,7 +97,7 @@
                         mAdvisor);
         CallerFormat format = mPlatform.callerFormat();
         mEndpoints = EndpointClient.create(mTraffic, clock, format);
-        mCallers = CallerServer.create(mTraffic, clock, format, mEngine, mEndpoints);
+        mCallers = CallerServer.create(mTraffic, format, mEngine, mEndpoints);
         mStatus =
                 StatusServer.create(
                         mControl, mPlatform.readinessPath(), this::isReady, this::metrics);
--- a/gateway/src/main/java/org/sesamedeck/gateway/HttpEndpointCall.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/HttpEndpointCall.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import org.sesamedeck.core.Clock;
-import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.request.EndpointCall;
 
 /** One request on its way to an endpoint and back. Confined to its event loop. */
@@ -13,10 +12,8 @@
     /** Answers to earlier requests that are passed over before the connection is given up. */
     private static final int MAX_FOREIGN_ANSWERS = 3;
 
-    private final EndpointClient mClient;
     private final Clock mClock;
     private final CallerFormat mFormat;
-    private final HostAddress mAddress;
     private final FullHttpRequest mRequest;
     private final String mRequestIdentifier;
     private final Listener mListener;
@@ -44,17 +41,13 @@
     }
 
     HttpEndpointCall(
-            EndpointClient client,
             Clock clock,
             CallerFormat format,
-            HostAddress address,
             FullHttpRequest request,
             String requestIdentifier,
             Listener listener) {
-        mClient = client;
         mClock = clock;
         mFormat = format;
-        mAddress = address;
         mRequest = request;
         mRequestIdentifier = requestIdentifier;
         mListener = listener;
@@ -144,9 +137,4 @@
         }
         return !mIsSent;
     }
-
-    @Override
-    public String toString() {
-        return mRequest.method() + " to " + mAddress + " by " + mClient;
-    }
 }
--- a/gateway/src/main/java/org/sesamedeck/gateway/MeteredDecisionLog.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/MeteredDecisionLog.java
@@ -57,17 +57,17 @@
     public synchronized void write(MetricsText text) {
         mOutcomes.forEach(
                 (outcome, count) ->
-                        text.counter("sesamedeck_requests_total", "outcome", outcome, count));
+                        text.value("sesamedeck_requests_total", "outcome", outcome, count));
         mDecisions.forEach(
                 (decision, count) ->
-                        text.counter("sesamedeck_decisions_total", "event", decision, count));
+                        text.value("sesamedeck_decisions_total", "event", decision, count));
         for (double quantile : QUANTILES) {
-            text.gauge(
+            text.value(
                     "sesamedeck_first_byte_milliseconds",
                     "quantile",
                     quantile,
                     mFirstByte.getValueAtPercentile(quantile * 100));
-            text.gauge(
+            text.value(
                     "sesamedeck_answer_milliseconds",
                     "quantile",
                     quantile,
--- a/gateway/src/main/java/org/sesamedeck/gateway/MetricsText.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/MetricsText.java
@@ -13,22 +13,8 @@
         return new MetricsText();
     }
 
-    /** Adds a counter with one label. */
-    public void counter(String name, String label, Object labelValue, long value) {
-        line(name, label, labelValue, value);
-    }
-
-    /** Adds a gauge with one label. */
-    public void gauge(String name, String label, Object labelValue, long value) {
-        line(name, label, labelValue, value);
-    }
-
-    /** Adds a value without labels. */
-    public void value(String name, long value) {
-        mText.append(name).append(' ').append(value).append('\n');
-    }
-
-    private void line(String name, String label, Object labelValue, long value) {
+    /** Adds a value with one label. */
+    public void value(String name, String label, Object labelValue, long value) {
         mText.append(name)
                 .append('{')
                 .append(label)
@@ -39,6 +25,11 @@
                 .append('\n');
     }
 
+    /** Adds a value without labels. */
+    public void value(String name, long value) {
+        mText.append(name).append(' ').append(value).append('\n');
+    }
+
     @Override
     public String toString() {
         return mText.toString();
--- a/gateway/src/test/java/org/sesamedeck/gateway/EndpointDirectoryTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/EndpointDirectoryTest.java
@@ -22,7 +22,7 @@
             EndpointDirectory.create(
                     mTime.clock(),
                     new ManualTimers(mTime),
-                    new SilentLog(),
+                    new RecordingLog(),
                     endpoints ->
                             mPublished =
                                     endpoints.stream().map(EndpointDescription::name).toList());
--- a/gateway/src/test/java/org/sesamedeck/gateway/FeedFollowerTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FeedFollowerTest.java
@@ -21,7 +21,7 @@
 
 class FeedFollowerTest {
     private final ManualScheduler mTime = ManualScheduler.create();
-    private final SilentLog mLog = new SilentLog();
+    private final RecordingLog mLog = new RecordingLog();
     private final Deque<CompletableFuture<Feed.Page<String>>> mLists = new ArrayDeque<>();
     private final Deque<CompletableFuture<Feed.Changes<String>>> mWatches = new ArrayDeque<>();
     private final List<String> mCalls = new ArrayList<>();
--- a/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpTest.java
@@ -71,13 +71,13 @@
                         mClock,
                         EventLoopTimers.of(mLoop),
                         router,
-                        new SilentLog(),
+                        new RecordingLog(),
                         new RequestSettings(0.1, 10, false, Duration.ZERO, Duration.ofMillis(250)),
                         new IgnoredPhases());
         engine.configure(configuration());
         PlainFormat format = new PlainFormat();
         EndpointClient client = EndpointClient.create(mLoop, mClock, format);
-        CallerServer server = CallerServer.create(mLoop, mClock, format, engine, client);
+        CallerServer server = CallerServer.create(mLoop, format, engine, client);
         mResources.add(() -> mLoop.submit(server::close).sync());
         mResources.add(() -> mLoop.submit(client::close).sync());
         mCallers = HostAddress.of("127.0.0.1", freePort());
--- a/gateway/src/test/java/org/sesamedeck/gateway/SilentLog.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/RecordingLog.java
@@ -8,7 +8,7 @@
 import org.sesamedeck.request.RequestTrace;
 
 /** Keeps what was logged, for tests that look at it. */
-final class SilentLog implements DecisionLog {
+final class RecordingLog implements DecisionLog {
     private final List<Decision> mDecisions = new ArrayList<>();
 
     @Override
--- a/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
@@ -48,7 +48,7 @@
             };
 
     private RoleCoordinator coordinator(String host, FakeObjectStore store) {
-        return RoleCoordinator.create(mTime.clock(), store, mEngines, new SilentLog(), host);
+        return RoleCoordinator.create(mTime.clock(), store, mEngines, new RecordingLog(), host);
     }
 
     private static List<EndpointDescription> engines() {
