--- a/gateway/src/main/java/org/sesamedeck/gateway/ShutdownSteps.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/ShutdownSteps.java
@@ -12,8 +12,11 @@
     /** By then the balancer has missed two answers and sends no new connections. */
     private static final Duration BALANCER_DELAY = Duration.ofMillis(2_600);
 
-    /** Work accepted later might not end within the grace period. */
-    private static final Duration ACCEPTING = Duration.ofMillis(3_200);
+    /**
+     * Work accepted later might not end within the grace period; the platform allows for what was
+     * sent in the first 3 s.
+     */
+    private static final Duration ACCEPTING = Duration.ofMillis(2_800);
 
     /** The process itself needs some time to end. */
     private static final Duration MARGIN = Duration.ofMillis(500);
--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -93,6 +93,11 @@
         mIsStopping = true;
     }
 
+    /** Returns whether requests are still taken. */
+    public boolean isAccepting() {
+        return !mIsStopping;
+    }
+
     /** Returns the number of requests that have not ended. */
     public int activeRequests() {
         return mActive;
