Order the waiting line by due time, use the callers' length estimate, place answers beside their cache

Change: the line starts what can still be on time first, by due time, and ends a wait before its caller gives up; the caller's estimate of the answer's length is weighed with the route's usual length; an answer stays in the region of its cache unless another engine ends it 0.3 s sooner; the role balance counts the wait of answers for room; the fixed time of a prompt is learned apart from the time of its tokens; ANSWERED, BROKEN_OFF and CALLER_LEFT tell events and the longest pause.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -130,6 +130,7 @@
                 settings.get(GatewaySettings.RETRY_BURST),
                 settings.get(GatewaySettings.SPLIT_PHASES),
                 settings.get(GatewaySettings.TRANSFER_TIME),
+                settings.get(GatewaySettings.PACE_LIMIT),
                 settings.get(GatewaySettings.RETRY_AFTER));
     }
 
--- a/gateway/src/main/java/org/sesamedeck/gateway/RoleAdvisor.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/RoleAdvisor.java
@@ -40,6 +40,11 @@
         balance(service).answered(pause, pauseTarget);
     }
 
+    @Override
+    public void answerWaited(String service, Duration waited) {
+        balance(service).answerWaited(waited);
+    }
+
     private PhaseBalance balance(String service) {
         return mBalances.computeIfAbsent(service, name -> PhaseBalance.create(mClock));
     }
@@ -60,6 +65,9 @@
                                                             .with(
                                                                     "promptWaitMillis",
                                                                     balance.promptWait().toMillis())
+                                                            .with(
+                                                                    "answerWaitMillis",
+                                                                    balance.answerWait().toMillis())
                                                             .with(
                                                                     "pausePart",
                                                                     balance.pausePart()));
--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -27,6 +27,7 @@
     private final RequestSettings mSettings;
     private final PhaseObserver mPhases;
     private final PhaseSplitPolicy mPhaseSplit;
+    private final StartGate mStartGate;
     private final Map<String, RetryBudget> mBudgets = new HashMap<>();
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
     private final AnswerLengths mLengths = new AnswerLengths();
@@ -50,6 +51,7 @@
         mSavedRetries = settings.savedRetries();
         mPhases = phases;
         mPhaseSplit = PhaseSplitPolicy.of(router, settings);
+        mStartGate = StartGate.of(router, mPhaseSplit, settings);
     }
 
     /** Returns an engine that refuses everything until it has a configuration. */
@@ -161,13 +163,17 @@
                 isEngine,
                 MAX_PRIORITY - Math.min(MAX_PRIORITY, Math.max(0, route.priority())),
                 request.promptTokens(),
-                isEngine ? Math.round(mLengths.expected(route.name())) : 0,
+                isEngine ? expectedEvents(request, route) : 0,
                 isEngine ? PromptBlocks.hashes(target, request.promptParts()) : new long[0],
                 isEngine ? PromptBlocks.sharedBlocks(request.promptParts()) : 0,
                 Set.of(),
                 0);
     }
 
+    private long expectedEvents(CallerRequest request, Route route) {
+        return Math.round(mLengths.expected(route.name(), request.expectedOutputTokens()));
+    }
+
     /** Returns the name under which the router knows a model of a service. */
     public static String targetOf(String service, String model) {
         return service + '/' + model;
@@ -215,8 +221,17 @@
         return mLengths;
     }
 
-    WaitingLine waitingLine(String service) {
-        return mWaiting.computeIfAbsent(service, name -> new WaitingLine(mClock, mTimers));
+    WaitingLine waitingLine(String target) {
+        return mWaiting.computeIfAbsent(target, name -> new WaitingLine(mClock, mTimers));
+    }
+
+    /** Returns the number of requests that wait for room at engines. */
+    public int waitingRequests() {
+        return mWaiting.values().stream().mapToInt(WaitingLine::size).sum();
+    }
+
+    StartGate startGate() {
+        return mStartGate;
     }
 
     PhaseObserver phases() {
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.sesamedeck.core.Clock;
@@ -96,9 +95,23 @@
     @Override
     public Optional<Assignment> choosePhase(
             RequestProfile profile, RequestPhase phase, Set<String> excluded) {
+        return choose(profile, phase, excluded, Optional.empty());
+    }
+
+    @Override
+    public Optional<Assignment> chooseAnswering(
+            RequestProfile profile, Set<String> excluded, String cacheRegion) {
+        return choose(profile, RequestPhase.DECODE, excluded, Optional.of(cacheRegion));
+    }
+
+    private Optional<Assignment> choose(
+            RequestProfile profile,
+            RequestPhase phase,
+            Set<String> excluded,
+            Optional<String> cacheRegion) {
         EndpointTable table = mTable;
         while (true) {
-            EndpointChoice choice = compare(table, profile, phase, excluded);
+            EndpointChoice choice = compare(table, profile, phase, excluded, cacheRegion);
             EndpointState best = choice.best();
             if (best == null) {
                 return Optional.empty();
@@ -120,21 +133,27 @@
     }
 
     @Override
-    public OptionalLong expectedStartNanos(RequestProfile profile, RequestPhase phase) {
-        EndpointChoice choice = compare(mTable, profile, phase, Set.of());
+    public Optional<StartEstimate> estimateStart(RequestProfile profile, RequestPhase phase) {
+        EndpointChoice choice = compare(mTable, profile, phase, Set.of(), Optional.empty());
         EndpointState best = choice.best();
         if (best == null) {
-            return OptionalLong.empty();
+            return Optional.empty();
         }
         double prompt = choice.bestUncachedTokens() * best.prefillNanosPerToken();
-        return OptionalLong.of((long) (best.expectedWaitNanos(mProcesses) + prompt));
+        return Optional.of(
+                new StartEstimate((long) best.expectedWaitNanos(mProcesses), (long) prompt));
     }
 
     private EndpointChoice compare(
-            EndpointTable table, RequestProfile profile, RequestPhase phase, Set<String> excluded) {
+            EndpointTable table,
+            RequestProfile profile,
+            RequestPhase phase,
+            Set<String> excluded,
+            Optional<String> cacheRegion) {
         Candidates candidates = table.candidates(profile.target());
         EndpointChoice choice =
-                new EndpointChoice(mSettings, mPrefixes, mProcesses, profile, phase, excluded);
+                new EndpointChoice(
+                        mSettings, mPrefixes, mProcesses, profile, phase, excluded, cacheRegion);
         if (phase != RequestPhase.DECODE) {
             choice.considerFetching(table);
             choice.considerPrefixHolders(table);
