--- a/gateway/src/main/java/org/sesamedeck/gateway/LibraryLogHandler.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/LibraryLogHandler.java
@@ -7,6 +7,7 @@
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import java.util.logging.SimpleFormatter;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.request.Decision;
@@ -34,7 +35,7 @@
     public static void install(Clock clock, DecisionLog log) {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         LogManager.getLogManager().reset();
-        java.util.logging.Logger.getLogger("").addHandler(of(clock, log));
+        Logger.getLogger("").addHandler(of(clock, log));
     }
 
     @Override
--- a/request/src/main/java/org/sesamedeck/request/StartOrder.java
+++ b/request/src/main/java/org/sesamedeck/request/StartOrder.java
@@ -9,8 +9,8 @@
  * of arrival, each request then waits as long as the burst's surplus, and all of them miss their
  * target, although the engines could have served most of them on time. So those that can still be
  * on time go first, the one that is due soonest before the others; a request with a later target
- * lends its slack to one with a nearer target. What can no longer be on time waits until none of
- * these is left, since an answer that is late is worth the same now and in a second; among these
+ * can afford to wait for one with a nearer target. What can no longer be on time waits until none
+ * of these is left, since an answer that is late is worth the same now and in a second; among these
  * the more urgent route goes first, and within a rank the earlier arrival. The place of a request
  * can be decided in this way only while it waits here and not at an engine.
  */
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -14,7 +14,7 @@
 
     /**
      * How much sooner an engine in another region must end an answer whose KV cache would have to
-     * cross over: links between regions are a tenth as fast and charged by volume.
+     * be moved there: links between regions are a tenth as fast and charged by volume.
      */
     private static final double REMOTE_CACHE_NANOS = 300e6;
 
