--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -130,7 +130,6 @@
                 settings.get(GatewaySettings.RETRY_BURST),
                 settings.get(GatewaySettings.SPLIT_PHASES),
                 settings.get(GatewaySettings.TRANSFER_TIME),
-                settings.get(GatewaySettings.PACE_LIMIT),
                 settings.get(GatewaySettings.RETRY_AFTER));
     }
 
@@ -245,11 +244,6 @@
         mLog.write(text);
         text.value("sesamedeck_configuration_version", mConfigurationVersion);
         text.value("sesamedeck_requests_active", mEngine.activeRequests());
-        text.value("sesamedeck_requests_waiting", mEngine.waitingRequests());
-        mEngine.retriesLeft()
-                .forEach(
-                        (name, left) ->
-                                text.value("sesamedeck_retries_left", "service", name, left));
         text.value("sesamedeck_caller_connections", mCallers.connections());
         text.value("sesamedeck_endpoint_connections_total", mEndpoints.connectionsOpened());
         text.value("sesamedeck_log_requests_sampled_out_total", mOutput.sampledOut());
--- a/gateway/src/main/java/org/sesamedeck/gateway/RoleAdvisor.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/RoleAdvisor.java
@@ -40,11 +40,6 @@
         balance(service).answered(pause, pauseTarget);
     }
 
-    @Override
-    public void answerWaited(String service, Duration waited) {
-        balance(service).answerWaited(waited);
-    }
-
     private PhaseBalance balance(String service) {
         return mBalances.computeIfAbsent(service, name -> PhaseBalance.create(mClock));
     }
@@ -65,9 +60,6 @@
                                                             .with(
                                                                     "promptWaitMillis",
                                                                     balance.promptWait().toMillis())
-                                                            .with(
-                                                                    "answerWaitMillis",
-                                                                    balance.answerWait().toMillis())
                                                             .with(
                                                                     "pausePart",
                                                                     balance.pausePart()));
--- a/request/src/main/java/org/sesamedeck/request/CallerRequest.java
+++ b/request/src/main/java/org/sesamedeck/request/CallerRequest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -16,7 +15,6 @@
  * @param model model that is asked for; empty for plain services
  * @param promptTokens tokens of the prompt; 0 for plain services
  * @param outputTokens most tokens of the answer; 0 for plain services
- * @param expectedOutputTokens tokens that the caller expects; often far off
  * @param promptParts parts of the prompt in order; the last one belongs to the request itself
  * @param lastEvent identifier of the last event that the caller has, when it resumes a stream
  */
@@ -28,6 +26,5 @@
         Optional<String> model,
         int promptTokens,
         int outputTokens,
-        OptionalInt expectedOutputTokens,
         List<PromptPart> promptParts,
         OptionalLong lastEvent) {}
--- a/request/src/main/java/org/sesamedeck/request/PhaseObserver.java
+++ b/request/src/main/java/org/sesamedeck/request/PhaseObserver.java
@@ -14,11 +14,4 @@
      * @param pauseTarget longest pause that is on time
      */
     void streamed(String service, Duration pause, Duration pauseTarget);
-
-    /**
-     * An answer left the line for room at the engines.
-     *
-     * @param waited time that it spent there, zero when there was room at once
-     */
-    void answerWaited(String service, Duration waited);
 }
--- a/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
+++ b/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
@@ -1,10 +1,9 @@
 package org.sesamedeck.request;
 
-import java.util.Optional;
+import java.util.OptionalLong;
 import org.sesamedeck.routing.RequestPhase;
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.Router;
-import org.sesamedeck.routing.StartEstimate;
 
 /**
  * Decides whether a prompt is processed by an engine of the prefill role before another engine
@@ -45,16 +44,16 @@
             return RequestPhase.WHOLE;
         }
         return splits(
-                        mRouter.estimateStart(profile, RequestPhase.WHOLE),
-                        mRouter.estimateStart(profile, RequestPhase.PREFILL))
+                        mRouter.expectedStartNanos(profile, RequestPhase.WHOLE),
+                        mRouter.expectedStartNanos(profile, RequestPhase.PREFILL))
                 ? RequestPhase.PREFILL
                 : RequestPhase.WHOLE;
     }
 
-    private boolean splits(Optional<StartEstimate> whole, Optional<StartEstimate> prefill) {
-        if (prefill.isEmpty() || whole.isEmpty()) {
+    private boolean splits(OptionalLong wholeNanos, OptionalLong prefillNanos) {
+        if (prefillNanos.isEmpty() || wholeNanos.isEmpty()) {
             return false;
         }
-        return prefill.get().totalNanos() + mTransferNanos < whole.get().totalNanos() * DISTURBANCE;
+        return prefillNanos.getAsLong() + mTransferNanos < wholeNanos.getAsLong() * DISTURBANCE;
     }
 }
--- a/request/src/main/java/org/sesamedeck/request/RequestEngine.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestEngine.java
@@ -7,9 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.routing.RequestProfile;
@@ -30,12 +27,10 @@
     private final RequestSettings mSettings;
     private final PhaseObserver mPhases;
     private final PhaseSplitPolicy mPhaseSplit;
-    private final StartGate mStartGate;
-    private final Map<String, RetryBudget> mBudgets = new ConcurrentHashMap<>();
+    private final Map<String, RetryBudget> mBudgets = new HashMap<>();
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
     private final AnswerLengths mLengths = new AnswerLengths();
     private final Map<String, WaitingLine> mWaiting = new HashMap<>();
-    private final AtomicInteger mWaitingTotal = new AtomicInteger();
     private double mSavedRetries;
     private int mActive;
     private boolean mIsStopping;
@@ -55,7 +50,6 @@
         mSavedRetries = settings.savedRetries();
         mPhases = phases;
         mPhaseSplit = PhaseSplitPolicy.of(router, settings);
-        mStartGate = StartGate.of(router, mPhaseSplit, settings);
     }
 
     /** Returns an engine that refuses everything until it has a configuration. */
@@ -167,17 +161,13 @@
                 isEngine,
                 MAX_PRIORITY - Math.min(MAX_PRIORITY, Math.max(0, route.priority())),
                 request.promptTokens(),
-                isEngine ? expectedEvents(request, route) : 0,
+                isEngine ? Math.round(mLengths.expected(route.name())) : 0,
                 isEngine ? PromptBlocks.hashes(target, request.promptParts()) : new long[0],
                 isEngine ? PromptBlocks.sharedBlocks(request.promptParts()) : 0,
                 Set.of(),
                 0);
     }
 
-    private long expectedEvents(CallerRequest request, Route route) {
-        return Math.round(mLengths.expected(route.name(), request.expectedOutputTokens()));
-    }
-
     /** Returns the name under which the router knows a model of a service. */
     public static String targetOf(String service, String model) {
         return service + '/' + model;
@@ -225,25 +215,8 @@
         return mLengths;
     }
 
-    WaitingLine waitingLine(String target) {
-        return mWaiting.computeIfAbsent(
-                target, name -> new WaitingLine(mClock, mTimers, mWaitingTotal));
-    }
-
-    /** Returns the number of requests that wait for room at engines; from any thread. */
-    public int waitingRequests() {
-        return mWaitingTotal.get();
-    }
-
-    /** Returns the whole retries that each service has left; from any thread. */
-    public Map<String, Long> retriesLeft() {
-        Map<String, Long> left = new TreeMap<>();
-        mBudgets.forEach((service, budget) -> left.put(service, budget.wholeRetries()));
-        return left;
-    }
-
-    StartGate startGate() {
-        return mStartGate;
+    WaitingLine waitingLine(String service) {
+        return mWaiting.computeIfAbsent(service, name -> new WaitingLine(mClock, mTimers));
     }
 
     PhaseObserver phases() {
--- a/request/src/main/java/org/sesamedeck/request/RequestLog.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLog.java
@@ -32,12 +32,7 @@
                 request.outputTokens());
     }
 
-    void admitted(
-            Route route,
-            String service,
-            long configurationVersion,
-            long timeLeftNanos,
-            long expectedEvents) {
+    void admitted(Route route, String service, long configurationVersion, long timeLeftNanos) {
         add(Decision.ADMITTED)
                 .with("route", route.name())
                 .with("kind", route.kind())
@@ -45,8 +40,7 @@
                 .with("configurationVersion", configurationVersion)
                 .with("timeLeftMillis", timeLeftNanos / NANOS_PER_MILLI)
                 .with("promptTokens", mPromptTokens)
-                .with("outputTokens", mOutputTokens)
-                .with("expectedEvents", expectedEvents);
+                .with("outputTokens", mOutputTokens);
     }
 
     void waiting(int ahead, AnswerRoom room) {
@@ -89,13 +83,11 @@
                 .with("hasHandle", hasHandle);
     }
 
-    void answered(Attempt attempt, int status, long firstByteNanos, StreamDelivery stream) {
+    void answered(Attempt attempt, int status, long firstByteNanos) {
         add(Decision.ANSWERED)
                 .with("endpoint", attempt.endpoint().name())
                 .with("status", status)
-                .with("firstByteMillis", firstByteNanos / NANOS_PER_MILLI)
-                .with("events", stream.events())
-                .with("longestPauseMillis", stream.longestPause().toMillis());
+                .with("firstByteMillis", firstByteNanos / NANOS_PER_MILLI);
     }
 
     void sendingAgain(boolean isResumption, AttemptOutcome after, int runs) {
@@ -115,19 +107,12 @@
         add(Decision.FAILED).with("code", code.number()).with("cause", cause).with("runs", runs);
     }
 
-    void brokenOff(String cause, int runs, StreamDelivery stream) {
-        add(Decision.BROKEN_OFF)
-                .with("cause", cause)
-                .with("runs", runs)
-                .with("events", stream.events())
-                .with("longestPauseMillis", stream.longestPause().toMillis());
+    void brokenOff(String cause, int runs) {
+        add(Decision.BROKEN_OFF).with("cause", cause).with("runs", runs);
     }
 
-    void callerLeft(StreamDelivery stream) {
-        add(Decision.CALLER_LEFT)
-                .with("streamBegun", stream.isBegun())
-                .with("events", stream.events())
-                .with("longestPauseMillis", stream.longestPause().toMillis());
+    void callerLeft(boolean streamBegun) {
+        add(Decision.CALLER_LEFT).with("streamBegun", streamBegun);
     }
 
     /** Returns the finished trace; times are since arrival, in nanoseconds. */
--- a/request/src/main/java/org/sesamedeck/request/RequestRun.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestRun.java
@@ -22,6 +22,9 @@
     /** An endpoint needs some time to answer at all; less is not worth sending. */
     private static final Duration MIN_TIME_LEFT = Duration.ofMillis(20);
 
+    /** Answers that hardly take part in a batch need not wait for room in it. */
+    private static final int SHORT_ANSWER_EVENTS = 5;
+
     private final RequestEngine mEngine;
     private final CallerRequest mRequest;
     private final Optional<Route> mRoute;
@@ -53,12 +56,7 @@
             long configurationVersion,
             RequestPort port) {
         this(engine, request, Optional.of(route), service, Optional.of(profile), port);
-        mLog.admitted(
-                route,
-                service,
-                configurationVersion,
-                mDeadlineNanos - mArrivedNanos,
-                profile.expectedOutputTokens());
+        mLog.admitted(route, service, configurationVersion, mDeadlineNanos - mArrivedNanos);
     }
 
     private RequestRun(
@@ -99,21 +97,45 @@
                                 .schedule(
                                         Duration.ofNanos(mDeadlineNanos - mArrivedNanos),
                                         this::expire));
-        RequestProfile profile = mProfile.orElseThrow();
-        if (!mEngine.startGate().needsRoom(profile)) {
+        if (mProfile.orElseThrow().expectedOutputTokens() <= SHORT_ANSWER_EVENTS) {
             place();
             return;
         }
-        StartTerms terms =
-                mEngine.startGate()
-                        .terms(mRoute.orElseThrow(), profile, mArrivedNanos, mDeadlineNanos);
-        new QueuedStart(mEngine, this, mRequest.identifier(), mService, profile, terms, mLog)
-                .begin();
+        WaitingLine line = mEngine.waitingLine(mService);
+        int ahead = line.ahead(priority());
+        if (ahead == 0 && startIfRoom()) {
+            return;
+        }
+        mLog.waiting(ahead, mEngine.router().answerRoom(mProfile.orElseThrow()));
+        if (!line.enter(this, priority(), Duration.ofNanos(mDeadlineNanos - mArrivedNanos))) {
+            leaveLine();
+        }
     }
 
-    /** Returns whether nothing has been sent for the request yet. */
-    boolean isWaiting() {
-        return !mIsOver && mAttempt.isEmpty();
+    /** Tells the caller to come back: an answer that starts later would not end in time. */
+    void leaveLine() {
+        if (!mIsOver && mAttempt.isEmpty()) {
+            Optional<Duration> retryAfter =
+                    mEngine.waitingLine(mService)
+                            .returnTime(
+                                    priority(),
+                                    mEngine.settings().retryAfter(),
+                                    mRequest.identifier());
+            refuse(ResultCode.OVERLOADED, "engines have no room", retryAfter);
+        }
+    }
+
+    /** Places the request if the engines can take another answer, and returns whether they can. */
+    boolean startIfRoom() {
+        boolean hasRoom = mEngine.router().answerRoom(mProfile.orElseThrow()).isLeft();
+        if (hasRoom) {
+            place();
+        }
+        return hasRoom;
+    }
+
+    private int priority() {
+        return mRoute.orElseThrow().priority();
     }
 
     /** The caller went away: whatever works for it is stopped at once. */
@@ -121,12 +143,11 @@
         if (mIsOver) {
             return;
         }
-        mLog.callerLeft(mStream);
+        mLog.callerLeft(mStream.isBegun());
         end(RequestOutcome.CALLER_LEFT);
     }
 
-    /** Sends the request to an endpoint, or ends it if there is none. */
-    void place() {
+    private void place() {
         long timeLeft = mDeadlineNanos - now();
         if (timeLeft < MIN_TIME_LEFT.toNanos()) {
             expire();
@@ -137,7 +158,8 @@
                 mProcessedPrompt.isPresent()
                         ? RequestPhase.DECODE
                         : mEngine.phaseSplit().firstPhase(mProfile.orElseThrow(), mayPrefill);
-        Optional<Assignment> chosen = choose(phase);
+        Optional<Assignment> chosen =
+                mEngine.router().choosePhase(mProfile.orElseThrow(), phase, mExcluded);
         if (chosen.isEmpty()) {
             nothingToSendTo(phase);
             return;
@@ -145,15 +167,6 @@
         send(chosen.get(), phase, timeLeft);
     }
 
-    private Optional<Assignment> choose(RequestPhase phase) {
-        RequestProfile profile = mProfile.orElseThrow();
-        return mProcessedPrompt.isPresent()
-                ? mEngine.router()
-                        .chooseAnswering(
-                                profile, mExcluded, mProcessedPrompt.get().endpoint().region())
-                : mEngine.router().choosePhase(profile, phase, mExcluded);
-    }
-
     private void nothingToSendTo(RequestPhase phase) {
         if (phase == RequestPhase.PREFILL) {
             mPrefillSends++;
@@ -248,7 +261,7 @@
                         isWorthRetry && kind().isRepeatable() && maySendAgain());
         if (step == NextStep.PASS_ON && !promisesNotRun(head.status())) {
             mPort.answer(head, body);
-            mLog.answered(attempt, head.status(), now() - mArrivedNanos, mStream);
+            mLog.answered(attempt, head.status(), now() - mArrivedNanos);
             end(RequestOutcome.FAILED_BY_ENDPOINT);
         } else if (step == NextStep.PASS_ON) {
             fail("endpoint ran the request and answered " + head.status());
@@ -297,11 +310,7 @@
         mAttempt = Optional.empty();
         mProcessedPrompt = Optional.empty();
         mStream.end(head, now());
-        mEngine.lengths()
-                .record(
-                        mRoute.orElseThrow().name(),
-                        mStream.events(),
-                        mRequest.expectedOutputTokens());
+        mEngine.lengths().record(mRoute.orElseThrow().name(), mStream.events());
         mStream.meanPause(now())
                 .ifPresent(
                         pause ->
@@ -328,7 +337,7 @@
             mFirstByteNanos = mStream.begunNanos() - mArrivedNanos;
         }
         boolean isOnTime = mFirstByteNanos <= mRoute.orElseThrow().targetLatency().toNanos();
-        mLog.answered(attempt, head.status(), mFirstByteNanos, mStream);
+        mLog.answered(attempt, head.status(), mFirstByteNanos);
         end(isOnTime ? RequestOutcome.SERVED : RequestOutcome.SERVED_LATE);
     }
 
@@ -393,7 +402,7 @@
 
     private void breakOff(String cause) {
         mPort.abort();
-        mLog.brokenOff(cause, mRuns, mStream);
+        mLog.brokenOff(cause, mRuns);
         end(RequestOutcome.BROKEN_OFF);
     }
 
--- a/request/src/main/java/org/sesamedeck/request/RequestSettings.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestSettings.java
@@ -9,7 +9,6 @@
  * @param savedRetries retries allowed at once after a quiet time, for each service
  * @param splitsPhases whether prompts may be processed apart from the answer
  * @param transferTime time added to a split request for moving its KV cache
- * @param answerPace time between events of an answer that is assumed before it starts
  * @param retryAfter when a caller should come back if nothing better is known
  */
 public record RequestSettings(
@@ -17,5 +16,4 @@
         double savedRetries,
         boolean splitsPhases,
         Duration transferTime,
-        Duration answerPace,
         Duration retryAfter) {}
--- a/request/src/main/java/org/sesamedeck/request/Route.java
+++ b/request/src/main/java/org/sesamedeck/request/Route.java
@@ -28,21 +28,6 @@
         int priority,
         int maxAttempts,
         List<ServiceShare> shares) {
-    private static final Duration SHORTEST_PATIENCE = Duration.ofSeconds(2);
-    private static final int PATIENCE_TARGETS = 4;
-    private static final int PATIENCE_PAUSES = 8;
-
-    /**
-     * Returns how long callers wait for the first event of a stream, and from one event to the
-     * next, before they give it up.
-     */
-    public Duration firstEventPatience() {
-        Duration targets = targetLatency.multipliedBy(PATIENCE_TARGETS);
-        Duration pauses = pauseTarget.multipliedBy(PATIENCE_PAUSES);
-        Duration longer = targets.compareTo(pauses) > 0 ? targets : pauses;
-        return longer.compareTo(SHORTEST_PATIENCE) > 0 ? longer : SHORTEST_PATIENCE;
-    }
-
     /**
      * Picks the service of one request by the weights.
      *
--- a/request/src/main/java/org/sesamedeck/request/StreamDelivery.java
+++ b/request/src/main/java/org/sesamedeck/request/StreamDelivery.java
@@ -12,8 +12,6 @@
     private boolean mIsBegun;
     private int mEvents;
     private long mBegunNanos;
-    private long mLastEventNanos;
-    private long mLongestPauseNanos;
 
     StreamDelivery(RequestPort port, OptionalLong lastEvent) {
         mPort = port;
@@ -30,11 +28,6 @@
         return mEvents;
     }
 
-    /** Returns the longest time between two events delivered. */
-    Duration longestPause() {
-        return Duration.ofNanos(mLongestPauseNanos);
-    }
-
     /** Returns when the caller received the head, in nanoseconds of monotonic time. */
     long begunNanos() {
         return mBegunNanos;
@@ -57,20 +50,12 @@
         for (EventStreamParser.Event event : events) {
             if (isNew(event.identifier())) {
                 begin(head, nowNanos);
-                countEvent(nowNanos);
+                mEvents++;
                 mPort.streamEvents(event.bytes());
             }
         }
     }
 
-    private void countEvent(long nowNanos) {
-        if (mEvents > 0) {
-            mLongestPauseNanos = Math.max(mLongestPauseNanos, nowNanos - mLastEventNanos);
-        }
-        mLastEventNanos = nowNanos;
-        mEvents++;
-    }
-
     /** Ends the stream as complete. */
     void end(AnswerHead head, long nowNanos) {
         begin(head, nowNanos);
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.sesamedeck.core.Clock;
@@ -95,23 +96,9 @@
     @Override
     public Optional<Assignment> choosePhase(
             RequestProfile profile, RequestPhase phase, Set<String> excluded) {
-        return choose(profile, phase, excluded, Optional.empty());
-    }
-
-    @Override
-    public Optional<Assignment> chooseAnswering(
-            RequestProfile profile, Set<String> excluded, String cacheRegion) {
-        return choose(profile, RequestPhase.DECODE, excluded, Optional.of(cacheRegion));
-    }
-
-    private Optional<Assignment> choose(
-            RequestProfile profile,
-            RequestPhase phase,
-            Set<String> excluded,
-            Optional<String> cacheRegion) {
         EndpointTable table = mTable;
         while (true) {
-            EndpointChoice choice = compare(table, profile, phase, excluded, cacheRegion);
+            EndpointChoice choice = compare(table, profile, phase, excluded);
             EndpointState best = choice.best();
             if (best == null) {
                 return Optional.empty();
@@ -133,27 +120,21 @@
     }
 
     @Override
-    public Optional<StartEstimate> estimateStart(RequestProfile profile, RequestPhase phase) {
-        EndpointChoice choice = compare(mTable, profile, phase, Set.of(), Optional.empty());
+    public OptionalLong expectedStartNanos(RequestProfile profile, RequestPhase phase) {
+        EndpointChoice choice = compare(mTable, profile, phase, Set.of());
         EndpointState best = choice.best();
         if (best == null) {
-            return Optional.empty();
+            return OptionalLong.empty();
         }
         double prompt = choice.bestUncachedTokens() * best.prefillNanosPerToken();
-        return Optional.of(
-                new StartEstimate((long) best.expectedWaitNanos(mProcesses), (long) prompt));
+        return OptionalLong.of((long) (best.expectedWaitNanos(mProcesses) + prompt));
     }
 
     private EndpointChoice compare(
-            EndpointTable table,
-            RequestProfile profile,
-            RequestPhase phase,
-            Set<String> excluded,
-            Optional<String> cacheRegion) {
+            EndpointTable table, RequestProfile profile, RequestPhase phase, Set<String> excluded) {
         Candidates candidates = table.candidates(profile.target());
         EndpointChoice choice =
-                new EndpointChoice(
-                        mSettings, mPrefixes, mProcesses, profile, phase, excluded, cacheRegion);
+                new EndpointChoice(mSettings, mPrefixes, mProcesses, profile, phase, excluded);
         if (phase != RequestPhase.DECODE) {
             choice.considerFetching(table);
             choice.considerPrefixHolders(table);
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -8,16 +8,6 @@
     private static final int MAX_SAMPLE = 8;
     private static final int MAX_PREFIX_HOLDERS = 2;
     private static final double NANOS_PER_MICRO = 1e3;
-
-    /** Time that a request spends on the way to another region and back. */
-    private static final double REGION_ROUND_TRIP_NANOS = 25e6;
-
-    /**
-     * How much sooner an engine in another region must end an answer whose KV cache would have to
-     * be moved there: links between regions are a tenth as fast and charged by volume.
-     */
-    private static final double REMOTE_CACHE_NANOS = 300e6;
-
     private static final double BYTES_PER_KILOBYTE = 1e3;
 
     private final RouterSettings mSettings;
@@ -26,7 +16,6 @@
     private final RequestProfile mProfile;
     private final RequestPhase mPhase;
     private final Set<String> mExcluded;
-    private final Optional<String> mCacheRegion;
     private double mFetchablePart;
     private EndpointState mBest;
     private double mBestSpaced = Double.POSITIVE_INFINITY;
@@ -43,9 +32,7 @@
             int processes,
             RequestProfile profile,
             RequestPhase phase,
-            Set<String> excluded,
-            Optional<String> cacheRegion) {
-        mCacheRegion = cacheRegion;
+            Set<String> excluded) {
         mSettings = settings;
         mPrefixes = prefixes;
         mProcesses = processes;
@@ -223,20 +210,12 @@
         }
         double tokens = mProfile.promptTokens() + (double) mProfile.expectedOutputTokens();
         return cost
-                + remoteCacheNanos(description)
                 + regionNanos(description, tokens * mSettings.bytesPerToken() / BYTES_PER_KILOBYTE);
     }
 
-    private double remoteCacheNanos(EndpointDescription description) {
-        boolean isRemote =
-                mCacheRegion.map(region -> !region.equals(description.region())).orElse(false);
-        return isRemote ? REMOTE_CACHE_NANOS : 0;
-    }
-
     private double regionNanos(EndpointDescription description, double kilobytes) {
         return description.region().equals(mSettings.region())
                 ? 0
-                : REGION_ROUND_TRIP_NANOS
-                        + kilobytes * mSettings.regionMicrosPerKilobyte() * NANOS_PER_MICRO;
+                : kilobytes * mSettings.regionMicrosPerKilobyte() * NANOS_PER_MICRO;
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -25,12 +25,6 @@
     /** Even a slow engine is given some answers, by which it shows that it is faster again. */
     private static final double MIN_ROOM = 2;
 
-    /** Shorter prompts tell the time that every prompt takes, longer ones that of the tokens. */
-    private static final double SHORT_PROMPT_TOKENS = 1_000;
-
-    /** Lets the least time seen for a short prompt rise again when an engine turns slow. */
-    private static final double FIXED_GROWTH = 1.01;
-
     /** Time over which own prompts count as recent; about the age of a late report. */
     private static final double RECENT_NANOS = 1e9;
 
@@ -53,7 +47,6 @@
     private int mSinceReportRunning;
     private double mPrefillNanosPerToken;
     private double mDecodeNanosPerToken;
-    private double mFixedPromptNanos = Double.POSITIVE_INFINITY;
     private double mPlainNanos = 10_000_000;
     private double mRecentNanos;
     private long mRecentAtNanos;
@@ -192,12 +185,8 @@
             mPlainNanos += LEARNING_RATE * (prefillNanos + decodeNanos - mPlainNanos);
             return;
         }
-        if (wasIdle && uncachedTokens > 0 && uncachedTokens < SHORT_PROMPT_TOKENS) {
-            mFixedPromptNanos = Math.min(mFixedPromptNanos * FIXED_GROWTH, prefillNanos);
-        }
-        if (wasIdle && uncachedTokens >= SHORT_PROMPT_TOKENS) {
-            double fixed = mFixedPromptNanos == Double.POSITIVE_INFINITY ? 0 : mFixedPromptNanos;
-            double sample = Math.max(0, prefillNanos - fixed) / uncachedTokens;
+        if (wasIdle && uncachedTokens >= 64) {
+            double sample = prefillNanos / uncachedTokens;
             // A prompt is never processed faster than measured, but often waits for a batch:
             // low samples count in full, high ones only a little.
             double rate = sample < mPrefillNanosPerToken ? LEARNING_RATE : LEARNING_RATE / 10;
--- a/routing/src/main/java/org/sesamedeck/routing/PhaseBalance.java
+++ b/routing/src/main/java/org/sesamedeck/routing/PhaseBalance.java
@@ -9,12 +9,11 @@
  * answers. Not thread-safe.
  *
  * <p>The demand of the whole fleet is not known to one process, but every process sees the same two
- * queues: how long prompts wait for an engine of the prefill role, and how long answers wait for
- * room in a batch, or how slowly they advance. Prompts that wait while answers neither wait nor
- * advance slowly call for one more prefill engine; answers that wait or are slow while prompts do
- * not wait call for one more decode engine. Between the two lies a wide range in which nothing
- * changes, since each change takes an engine out of service for seconds. All figures are means over
- * the last seconds, so that one long prompt does not count as a queue.
+ * queues: how long prompts wait for an engine of the prefill role, and how slowly answers advance.
+ * Prompts that wait while answers advance quickly call for one more prefill engine, slow answers
+ * without waiting prompts for one more decode engine. Between the two lies a wide range in which
+ * nothing changes, since each change takes an engine out of service for seconds. Both figures are
+ * means over the last seconds, so that one long prompt does not count as a queue.
  */
 public final class PhaseBalance {
     private static final double WINDOW_SECONDS = 2.5;
@@ -22,11 +21,8 @@
     /** Fewer samples in the window say nothing. */
     private static final double MIN_SAMPLES = 6;
 
-    /** Longer waits of one phase call for an engine more, if the other phase can spare one. */
     private static final double LONG_WAIT_NANOS = Duration.ofMillis(150).toNanos();
-
-    /** Engines for answers can spare one only while hardly any answer waits for room. */
-    private static final double NO_ANSWER_WAIT_NANOS = Duration.ofMillis(20).toNanos();
+    private static final double SHORT_WAIT_NANOS = Duration.ofMillis(40).toNanos();
 
     /** Network and first step, beside the time of the tokens. */
     private static final long FIXED_NANOS = Duration.ofMillis(30).toNanos();
@@ -44,14 +40,12 @@
     private final Clock mClock;
     private final WindowMean mWait;
     private final WindowMean mPause;
-    private final WindowMean mLine;
     private double mNanosPerToken = Double.POSITIVE_INFINITY;
 
     private PhaseBalance(Clock clock) {
         mClock = clock;
         mWait = new WindowMean();
         mPause = new WindowMean();
-        mLine = new WindowMean();
     }
 
     /** Returns a balance without samples. */
@@ -80,31 +74,18 @@
         mPause.add(pause.toNanos() / (double) Math.max(1, pauseTarget.toNanos()));
     }
 
-    /** Takes the time that an answer waited for room in a batch, zero when it had room at once. */
-    public void answerWaited(Duration waited) {
-        mLine.add(waited.toNanos());
-    }
-
     /** Returns the role of which one more engine is needed, if any. */
     public Optional<EndpointRole> needed() {
         if (!mWait.isKnown() || !mPause.isKnown()) {
             return Optional.empty();
         }
-        double answerWait = answerWait().toNanos();
-        if (mWait.mean() > LONG_WAIT_NANOS
-                && answerWait < NO_ANSWER_WAIT_NANOS
-                && mPause.mean() < QUICK_PART) {
+        if (mWait.mean() > LONG_WAIT_NANOS && mPause.mean() < QUICK_PART) {
             return Optional.of(EndpointRole.PREFILL);
         }
-        boolean lacksAnswerRoom = answerWait > LONG_WAIT_NANOS || mPause.mean() > SLOW_PART;
-        return mWait.mean() < LONG_WAIT_NANOS && lacksAnswerRoom
-                ? Optional.of(EndpointRole.DECODE)
-                : Optional.empty();
-    }
-
-    /** Returns the mean wait of answers for room over the last seconds; zero when unknown. */
-    public Duration answerWait() {
-        return Duration.ofNanos((long) (mLine.isKnown() ? mLine.mean() : 0));
+        if (mWait.mean() < SHORT_WAIT_NANOS && mPause.mean() > SLOW_PART) {
+            return Optional.of(EndpointRole.DECODE);
+        }
+        return Optional.empty();
     }
 
     /** Returns the mean wait of prompts over the last seconds; zero when unknown. */
--- a/routing/src/main/java/org/sesamedeck/routing/RetryBudget.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RetryBudget.java
@@ -55,11 +55,6 @@
         mSaved = Math.min(mSaved, maxSaved);
     }
 
-    /** Returns how many retries could be taken now. */
-    public synchronized long wholeRetries() {
-        return (long) mSaved;
-    }
-
     /** Records a request of a caller; retries do not count. */
     public synchronized void recordRequest() {
         mSaved = Math.min(mMaxSaved, mSaved + mRatio);
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** Chooses endpoints for requests. Thread-safe; does no I/O. */
@@ -28,24 +29,13 @@
     }
 
     /**
-     * Chooses the engine that answers a prompt which another engine has processed.
+     * Estimates how long a phase takes until its first token if it is sent now: the wait and the
+     * prompt. Takes nothing.
      *
-     * @param excluded names of endpoints that already failed this request
-     * @param cacheRegion region of the engine that keeps the prompt's KV cache
-     * @return empty when no endpoint can take the answer now
+     * @return nanoseconds; empty when no endpoint can take the phase now or no estimate is made
      */
-    default Optional<Assignment> chooseAnswering(
-            RequestProfile profile, Set<String> excluded, String cacheRegion) {
-        return choosePhase(profile, RequestPhase.DECODE, excluded);
-    }
-
-    /**
-     * Estimates how soon a phase gives its first token if it is sent now. Takes nothing.
-     *
-     * @return empty when no endpoint can take the phase now or no estimate is made
-     */
-    default Optional<StartEstimate> estimateStart(RequestProfile profile, RequestPhase phase) {
-        return Optional.empty();
+    default OptionalLong expectedStartNanos(RequestProfile profile, RequestPhase phase) {
+        return OptionalLong.empty();
     }
 
     /**
