Log the prompt parts of requests and whether a broken answer had begun

The log of the ending engines could not tell a request that causes the end from endpoints that fail by themselves: no entry named the parts of a prompt, and BROKEN did not say whether the engine had sent anything. ADMITTED has promptParts now and BROKEN has answerBegan. The list is turned into text only when its line is written.

--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -68,6 +68,11 @@
         return mPhase;
     }
 
+    /** Returns whether the endpoint has sent part of an answer. */
+    boolean hasEvents() {
+        return mHasEvents;
+    }
+
     /** Returns when the call was started, in nanoseconds of monotonic time. */
     long sentNanos() {
         return mSentNanos;
--- a/request/src/main/java/org/sesamedeck/request/LogEntry.java
+++ b/request/src/main/java/org/sesamedeck/request/LogEntry.java
@@ -13,7 +13,7 @@
      * An input or an outcome.
      *
      * @param name documented name, with its unit where it has one
-     * @param value a string, a number, a boolean or an enum constant
+     * @param value a number, a boolean, or a value that is logged as its string
      */
     public record Field(String name, Object value) {}
 
--- a/request/src/main/java/org/sesamedeck/request/PromptPart.java
+++ b/request/src/main/java/org/sesamedeck/request/PromptPart.java
@@ -6,4 +6,10 @@
  * @param identifier identifies the content of the part
  * @param tokens length in tokens
  */
-public record PromptPart(long identifier, int tokens) {}
+public record PromptPart(long identifier, int tokens) {
+    /** Returns the part as logs show it, with the identifier in hexadecimal. */
+    @Override
+    public String toString() {
+        return Long.toHexString(identifier) + ':' + tokens;
+    }
+}
--- a/request/src/main/java/org/sesamedeck/request/RequestLog.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLog.java
@@ -14,22 +14,19 @@
 
     private final Clock mClock;
     private final RequestTrace mTrace;
-    private final int mPromptTokens;
-    private final int mOutputTokens;
+    private final CallerRequest mRequest;
 
-    private RequestLog(Clock clock, RequestTrace trace, int promptTokens, int outputTokens) {
+    private RequestLog(Clock clock, RequestTrace trace, CallerRequest request) {
         mClock = clock;
         mTrace = trace;
-        mPromptTokens = promptTokens;
-        mOutputTokens = outputTokens;
+        mRequest = request;
     }
 
     static RequestLog of(Clock clock, CallerRequest request, Optional<Route> route) {
         return new RequestLog(
                 clock,
                 RequestTrace.of(request.identifier(), route.map(Route::name).orElse("")),
-                request.promptTokens(),
-                request.outputTokens());
+                request);
     }
 
     void admitted(Route route, String service, long configurationVersion, long remainingNanos) {
@@ -39,8 +36,9 @@
                 .with("service", service)
                 .with("configurationVersion", configurationVersion)
                 .with("timeLeftMillis", remainingNanos / NANOS_PER_MILLI)
-                .with("promptTokens", mPromptTokens)
-                .with("outputTokens", mOutputTokens);
+                .with("promptTokens", mRequest.promptTokens())
+                .with("outputTokens", mRequest.outputTokens())
+                .with("promptParts", mRequest.promptParts());
     }
 
     void queued(int ahead, DecodeCapacity capacity) {
@@ -65,10 +63,14 @@
                     case REJECTED -> Decision.REJECTED;
                     default -> Decision.BROKEN;
                 };
-        add(decision)
-                .with("endpoint", attempt.endpoint().name())
-                .with("phase", attempt.phase())
-                .with("cause", cause);
+        LogEntry entry =
+                add(decision)
+                        .with("endpoint", attempt.endpoint().name())
+                        .with("phase", attempt.phase())
+                        .with("cause", cause);
+        if (decision == Decision.BROKEN) {
+            entry.with("answerBegan", attempt.hasEvents());
+        }
     }
 
     void failureReceived(Attempt attempt, int status) {
