--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -28,6 +28,9 @@
 
     static final Duration TIMEOUT = Duration.ofSeconds(5);
 
+    /** Identifiers above this belong to the last parts of prompts. */
+    private static final long OWN_PARTS_START = 1_000_000;
+
     private final ManualClock mClock = ManualClock.create();
     private final ManualTimers mTimers = new ManualTimers(mClock);
     private final DefaultRouter mRouter;
@@ -154,7 +157,15 @@
     }
 
     RequestLifecycle start(String path, OptionalLong lastEvent, RecordingPort port) {
+        return start(path, lastEvent, List.of(new PromptPart(1, 3_000)), port);
+    }
+
+    /** Starts a request whose prompt begins with the given parts and ends with one of its own. */
+    RequestLifecycle start(
+            String path, OptionalLong lastEvent, List<PromptPart> sharedParts, RecordingPort port) {
         mRequests++;
+        List<PromptPart> parts = new ArrayList<>(sharedParts);
+        parts.add(new PromptPart(OWN_PARTS_START + mRequests, 1_000));
         return mHandler.start(
                 new CallerRequest(
                         "request-" + mRequests,
@@ -164,7 +175,7 @@
                         Optional.of("m"),
                         4_000,
                         100,
-                        List.of(new PromptPart(1, 3_000), new PromptPart(mRequests, 1_000)),
+                        parts,
                         lastEvent),
                 port);
     }
--- a/request/src/test/java/org/sesamedeck/request/RequestLogTest.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestLogTest.java
@@ -16,7 +16,8 @@
     void logTellsPromptPartsAndWhetherAnAnswerHadBegun() {
         mFixture.start(RequestKind.STREAM, mPort);
         mPort.lastCall().listener().broken("connection closed");
-        assertThat(field(Decision.ADMITTED, "promptParts"), is(Optional.of("[1:3000, 1:1000]")));
+        assertThat(
+                field(Decision.ADMITTED, "promptParts"), is(Optional.of("[1:3000, f4241:1000]")));
         assertThat(field(Decision.BROKEN, "answerBegan"), is(Optional.of("false")));
     }
 
