--- a/coordination/src/main/java/org/sesamedeck/platform/HttpHostList.java
+++ b/coordination/src/main/java/org/sesamedeck/platform/HttpHostList.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.platform;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -7,17 +8,28 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.apache.hc.client5.http.async.methods.SimpleHttpResponse;
 import org.apache.hc.client5.http.async.methods.SimpleRequestBuilder;
 import org.apache.hc.core5.http.HttpStatus;
 import org.sesamedeck.core.HostAddress;
+import org.sesamedeck.core.JsonSanitizer;
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.core.SesamedeckException;
+import org.sesamedeck.core.SettingTypes;
 
-/** The host list over HTTP. Rows of unknown kinds are ignored. */
+/**
+ * The host list over HTTP. Rows of unknown kinds are ignored, and so are rows without a usable name
+ * or address, which another writer may leave: they must not hide the other rows.
+ */
 public final class HttpHostList implements HostList, AutoCloseable {
+    private static final System.Logger LOGGER = System.getLogger(HttpHostList.class.getName());
     private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Characters of an unusable value that a log line shows. */
+    private static final int MAX_LOGGED_LENGTH = 100;
+
     private static final String CALL = "read of the host list";
 
     private final String mUri;
@@ -68,30 +80,50 @@
             throw PlatformErrors.ofStatus(CALL, false, response);
         }
         List<HostEntry> hosts = new ArrayList<>();
-        for (JsonNode row : MAPPER.readTree(response.getBodyBytes())) {
+        for (JsonNode row : readRows(response.getBodyBytes())) {
             String kind = row.path("kind").asText().toUpperCase(Locale.ROOT);
             for (HostKind known : HostKind.values()) {
                 if (known.name().equals(kind)) {
-                    hosts.add(toEntry(row, known));
+                    toEntry(row, known).ifPresent(hosts::add);
                 }
             }
         }
         return hosts;
     }
 
-    private static HostEntry toEntry(JsonNode row, HostKind kind) {
-        int port = row.path("port").asInt();
-        if (row.path("name").asText().isEmpty() || port < 1 || port > 65_535) {
-            throw new IllegalArgumentException("host without name or port: " + row);
+    private static JsonNode readRows(byte[] body) throws IOException {
+        try {
+            return MAPPER.readTree(body);
+        } catch (JsonProcessingException refused) {
+            return MAPPER.readTree(JsonSanitizer.sanitize(body));
         }
-        return new HostEntry(
-                row.path("name").asText(),
-                HostAddress.of(row.path("address").asText(), port),
-                kind,
-                row.path("service").asText(""),
-                row.path("failureDomain").asText(""),
-                row.path("region").asText(""),
-                "leaving".equals(row.path("state").asText()));
+    }
+
+    private static Optional<HostEntry> toEntry(JsonNode row, HostKind kind) {
+        String name = row.path("name").asText();
+        String address = row.path("address").asText() + ":" + row.path("port").asText();
+        Optional<HostAddress> parsed = SettingTypes.address().parse(address);
+        if (name.isEmpty() || parsed.isEmpty()) {
+            LOGGER.log(
+                    System.Logger.Level.WARNING,
+                    "host list: the row of \"{0}\" with address \"{1}\" cannot be used",
+                    abbreviated(name),
+                    abbreviated(address));
+            return Optional.empty();
+        }
+        return Optional.of(
+                new HostEntry(
+                        name,
+                        parsed.get(),
+                        kind,
+                        row.path("service").asText(""),
+                        row.path("failureDomain").asText(""),
+                        row.path("region").asText(""),
+                        "leaving".equals(row.path("state").asText())));
+    }
+
+    private static String abbreviated(String text) {
+        return text.length() <= MAX_LOGGED_LENGTH ? text : text.substring(0, MAX_LOGGED_LENGTH);
     }
 
     @Override
