Do not take a repeated refusal for the response to a later request

Reported by another operator: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that had run, or these ran twice. A copy with another identifier was skipped already.

A connection is kept after a refusal only if the refusal carries the identifier of its request, and a request is not sent on the connection that it used last.

--- a/gateway/src/main/java/org/sesamedeck/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/EndpointClient.java
@@ -13,7 +13,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import org.sesamedeck.core.Clock;
@@ -72,7 +74,7 @@
             HttpEndpointCall.Listener listener) {
         HttpEndpointCall call =
                 new HttpEndpointCall(mClock, mHeaderCodec, request, requestIdentifier, listener);
-        EndpointConnection idle = pollIdle(address);
+        EndpointConnection idle = pollIdle(address, requestIdentifier);
         if (idle != null) {
             idle.begin(call);
         } else {
@@ -81,16 +83,27 @@
         return call;
     }
 
-    private EndpointConnection pollIdle(HostAddress address) {
-        ArrayDeque<EndpointConnection> idle = mIdleConnections.get(address);
-        while (idle != null && !idle.isEmpty()) {
-            EndpointConnection connection = idle.pollLast();
-            if (connection.isReusable()) {
-                return connection;
+    /**
+     * Returns the connection used last that can be reused for the request; null if there is none.
+     */
+    private EndpointConnection pollIdle(HostAddress address, String requestIdentifier) {
+        ArrayDeque<EndpointConnection> idle =
+                mIdleConnections.getOrDefault(address, new ArrayDeque<>());
+        Iterator<EndpointConnection> lastUsedFirst = idle.descendingIterator();
+        List<EndpointConnection> expired = new ArrayList<>();
+        EndpointConnection found = null;
+        while (found == null && lastUsedFirst.hasNext()) {
+            EndpointConnection connection = lastUsedFirst.next();
+            if (!connection.isReusable()) {
+                expired.add(connection);
+                lastUsedFirst.remove();
+            } else if (!connection.mayConfuse(requestIdentifier)) {
+                found = connection;
+                lastUsedFirst.remove();
             }
-            connection.close();
         }
-        return null;
+        expired.forEach(EndpointConnection::close);
+        return found;
     }
 
     private void connect(HostAddress address, HttpEndpointCall call) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/EndpointConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/EndpointConnection.java
@@ -21,8 +21,8 @@
 
 /**
  * A connection to an endpoint. It is reused only after a response that ended cleanly with no excess
- * bytes after it. Bytes that arrive while no request is outstanding close it, since they belong to
- * no request.
+ * bytes after it, and only if a late copy of that response could be told from the next one. Bytes
+ * that arrive while no request is outstanding close it, since they belong to no request.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
@@ -44,6 +44,7 @@
     private final EndpointResponseDecoder mDecoder = new EndpointResponseDecoder();
     private ChannelHandlerContext mContext;
     private HttpEndpointCall mCall;
+    private String mLastIdentifier = "";
     private boolean mIsSkipped;
     private boolean mIsInterim;
     private int mInterimResponses;
@@ -83,6 +84,14 @@
         mContext.close();
     }
 
+    /**
+     * Returns whether a late copy of the last response could be taken for the response to a request
+     * with the identifier.
+     */
+    boolean mayConfuse(String requestIdentifier) {
+        return !requestIdentifier.isEmpty() && requestIdentifier.equals(mLastIdentifier);
+    }
+
     /** Sends the call's request, unless the call has been cancelled. */
     void begin(HttpEndpointCall call) {
         FullHttpRequest request = call.takeRequest(mContext.channel());
@@ -92,6 +101,7 @@
             return;
         }
         mCall = call;
+        mLastIdentifier = call.requestIdentifier();
         mIsFinished = false;
         mInterimResponses = 0;
         mDecoder.expectResponse(call.isHeadRequest());
@@ -145,7 +155,10 @@
             mKeepsAlive = false;
             return;
         }
-        mKeepsAlive &= HttpUtil.isKeepAlive(head) && !isDelimitedByClose(head);
+        mKeepsAlive &=
+                HttpUtil.isKeepAlive(head)
+                        && !isDelimitedByClose(head)
+                        && mCall.isRecognizable(head);
         readKeepAlive(head.headers().get("Keep-Alive"));
         mCall.headReceived(head);
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/HeaderCodec.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/HeaderCodec.java
@@ -27,6 +27,9 @@
     /** Returns whether a response carries the identifier of a request other than the given one. */
     boolean belongsToOtherRequest(HttpResponse response, String requestIdentifier);
 
+    /** Returns whether the response carries the identifier of the request. */
+    boolean namesRequest(HttpResponse response, String requestIdentifier);
+
     /**
      * Decodes the head of an endpoint's response.
      *
--- a/gateway/src/main/java/org/sesamedeck/gateway/HttpEndpointCall.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/HttpEndpointCall.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.request.EndpointCall;
 
@@ -91,6 +92,21 @@
                 && ++mSkippedResponses <= MAX_SKIPPED_RESPONSES;
     }
 
+    /** Returns the identifier of the request; empty if its response need not carry one. */
+    String requestIdentifier() {
+        return mRequestIdentifier;
+    }
+
+    /**
+     * Returns whether a copy of this response could be told from the response to a later request. A
+     * refusal without an identifier could not.
+     */
+    boolean isRecognizable(HttpResponse head) {
+        return mRequestIdentifier.isEmpty()
+                || head.status().code() < HttpResponseStatus.BAD_REQUEST.code()
+                || mHeaderCodec.namesRequest(head, mRequestIdentifier);
+    }
+
     void headReceived(HttpResponse head) {
         if (!mIsFinished) {
             mListener.headReceived(head, mClock.nanoTime());
--- a/gateway/src/test/java/org/sesamedeck/gateway/PlainHeaderCodec.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/PlainHeaderCodec.java
@@ -48,6 +48,11 @@
         return responseIdentifier != null && !responseIdentifier.equals(requestIdentifier);
     }
 
+    @Override
+    public boolean namesRequest(HttpResponse response, String requestIdentifier) {
+        return requestIdentifier.equals(response.headers().get("Id"));
+    }
+
     @Override
     public ResponseHead decodeResponseHead(
             HttpResponse response, String requestIdentifier, long receivedAtNanos) {
@@ -55,7 +60,7 @@
                 response.status().code(),
                 response.headers().contains("Not-Run"),
                 false,
-                requestIdentifier.equals(response.headers().get("Id")),
+                namesRequest(response, requestIdentifier),
                 Optional.empty(),
                 response);
     }
