Close connections of the entry to endpoints after a refusal

Responses of its endpoints carry no request identifier, so a connection is not reused after a status of 400 or above.

--- a/entry/src/main/java/org/sesamedeck/endpoint/HttpEndpointClient.java
+++ b/entry/src/main/java/org/sesamedeck/endpoint/HttpEndpointClient.java
@@ -5,10 +5,15 @@
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.ChainElement;
+import org.apache.hc.client5.http.impl.DefaultClientConnectionReuseStrategy;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
 import org.apache.hc.client5.http.impl.async.HttpAsyncClients;
 import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -76,6 +81,7 @@
                                     HttpExchange.markSent(scope.clientContext);
                                     chain.proceed(request, entity, scope, callback);
                                 })
+                        .setConnectionReuseStrategy(HttpEndpointClient::mayReuseConnection)
                         .disableAutomaticRetries()
                         .disableRedirectHandling()
                         .disableCookieManagement()
@@ -88,6 +94,17 @@
         return new HttpEndpointClient(client);
     }
 
+    /**
+     * A faulty endpoint may write a refusal twice, and the copy would be taken for the response to
+     * the next request, so a connection is not reused after one.
+     */
+    private static boolean mayReuseConnection(
+            HttpRequest request, HttpResponse response, HttpContext context) {
+        return response.getCode() < HttpStatus.SC_CLIENT_ERROR
+                && DefaultClientConnectionReuseStrategy.INSTANCE.keepAlive(
+                        request, response, context);
+    }
+
     @Override
     public EndpointExchange send(EndpointRequest request) {
         HttpExchange exchange = HttpExchange.of(request);
