Do not take the end of an endpoint for the end of a stream without events

Reported by another operator: after a stream had broken off, the next server's error stood in the middle of it, or it ended as if complete. The first cannot happen here: BrokenStreamTest goes through nine failures of the next endpoint, and none reaches the stream. The second could: a success without length, chunks or events, whose connection ends, was taken as the rest of the stream.

ResponseHead tells whether only the end of the connection shows the end of the body.

--- a/gateway/src/main/java/org/sesamedeck/gateway/EndpointConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/EndpointConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -157,19 +156,12 @@
         }
         mKeepsAlive &=
                 HttpUtil.isKeepAlive(head)
-                        && !isDelimitedByClose(head)
+                        && !ResponseFraming.endsWithConnection(head)
                         && mCall.isRecognizable(head);
         readKeepAlive(head.headers().get("Keep-Alive"));
         mCall.headReceived(head);
     }
 
-    private static boolean isDelimitedByClose(HttpResponse head) {
-        return !HttpUtil.isTransferEncodingChunked(head)
-                && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                && head.status().code() != 204
-                && head.status().code() != 304;
-    }
-
     private void readKeepAlive(String value) {
         Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(value == null ? "" : value);
         if (matcher.find()) {
--- a/gateway/src/test/java/org/sesamedeck/gateway/PlainHeaderCodec.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/PlainHeaderCodec.java
@@ -61,6 +61,7 @@
                 response.headers().contains("Not-Run"),
                 false,
                 namesRequest(response, requestIdentifier),
+                ResponseFraming.endsWithConnection(response),
                 Optional.empty(),
                 response);
     }
--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -202,8 +202,7 @@
             failureReceived(head);
         } else if (mEvents.hasPartialEvent()) {
             endAsLost("stream ends within an event");
-        } else if (isStream() && !mHasEvents && !mLifecycle.isResumption()) {
-            // Without a length, the end of an engine looks like the end of its response.
+        } else if (isStream() && !mHasEvents && head.endsWithConnection()) {
             connectionLost("stream ends without an event");
         } else {
             succeeded(head);
--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -435,11 +435,6 @@
         mProcessedPrompt = Optional.empty();
     }
 
-    /** Returns whether the stream goes on after an event, so that nothing may be left to send. */
-    boolean isResumption() {
-        return mStream.lastEvent().isPresent();
-    }
-
     private RequestKind kind() {
         return mRoute.orElseThrow().kind();
     }
--- a/request/src/main/java/org/sesamedeck/request/ResponseHead.java
+++ b/request/src/main/java/org/sesamedeck/request/ResponseHead.java
@@ -10,6 +10,8 @@
  * @param notRun whether the endpoint states that it did not run the request and never will
  * @param wrongEndpoint whether another endpoint than the expected one responded
  * @param signed whether the response carries the signature that each endpoint puts on its responses
+ * @param endsWithConnection whether only the end of the connection shows the end of the body, so
+ *     that the end of the endpoint looks the same
  * @param load load that the endpoint reported with the response
  * @param transportHead head in the transport's own representation, for relaying
  */
@@ -18,6 +20,7 @@
         boolean notRun,
         boolean wrongEndpoint,
         boolean signed,
+        boolean endsWithConnection,
         Optional<LoadReport> load,
         Object transportHead) {
     /** Returns whether the status is a success. */
--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -202,15 +202,19 @@
     }
 
     static ResponseHead head(int status) {
-        return new ResponseHead(status, false, false, true, Optional.empty(), "head");
+        return new ResponseHead(status, false, false, true, false, Optional.empty(), "head");
+    }
+
+    static ResponseHead endingWithConnection(int status) {
+        return new ResponseHead(status, false, false, true, true, Optional.empty(), "head");
     }
 
     static ResponseHead unsigned(int status) {
-        return new ResponseHead(status, false, false, false, Optional.empty(), "head");
+        return new ResponseHead(status, false, false, false, false, Optional.empty(), "head");
     }
 
     static ResponseHead notRun() {
-        return new ResponseHead(503, true, false, false, Optional.empty(), "head");
+        return new ResponseHead(503, true, false, false, false, Optional.empty(), "head");
     }
 
     static byte[] event(long identifier) {
