Quarantine messages under which engines end in the entry too

Each message is a part, for its client account alone, so that no caller can have the messages of another account refused. The entries do not exchange reports, so each learns by itself. Own ends that wait for confirmation are drained by the evaluation now, since an entry takes no reports.

--- /dev/null
+++ b/entry/src/main/java/org/sesamedeck/caller/ChatPromptGuard.java
@@ -0,0 +1,82 @@
+package org.sesamedeck.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.sesamedeck.core.Clock;
+import org.sesamedeck.core.ResultCode;
+import org.sesamedeck.routing.Router;
+import org.sesamedeck.routing.quarantine.PartKey;
+import org.sesamedeck.routing.quarantine.PartQuarantine;
+import org.sesamedeck.routing.quarantine.QuarantinedPart;
+
+/**
+ * Applies the quarantine of prompt parts to one chat request. Its messages are the parts, each for
+ * the client account that sent it, so that no caller can have the messages of another account
+ * refused.
+ */
+final class ChatPromptGuard {
+    private final PartQuarantine mQuarantine;
+    private final Router mRouter;
+    private final Clock mClock;
+    private final List<PartKey> mParts;
+    private boolean mIsTest;
+    private long mBeganNanos;
+
+    private ChatPromptGuard(
+            PartQuarantine quarantine, Router router, Clock clock, List<PartKey> parts) {
+        mQuarantine = quarantine;
+        mRouter = router;
+        mClock = clock;
+        mParts = parts;
+    }
+
+    static ChatPromptGuard of(RelayContext context, ChatRequest request, String clientAccount) {
+        List<PartKey> parts = new ArrayList<>();
+        for (long hash : request.messageHashes()) {
+            parts.add(PartKey.of(request.model(), hash * 31 + clientAccount.hashCode()));
+        }
+        return new ChatPromptGuard(
+                context.quarantine(), context.router(), context.clock(), List.copyOf(parts));
+    }
+
+    /**
+     * Lets the request pass unless one of its messages is quarantined.
+     *
+     * @throws CallerException with PART_QUARANTINED and the time until the message is tested
+     */
+    void check() {
+        QuarantinedPart part = mQuarantine.find(mParts).orElse(null);
+        mIsTest = part != null && mQuarantine.tryTest(mParts);
+        if (part != null && !mIsTest) {
+            throw CallerException.retryAfter(
+                    ResultCode.PART_QUARANTINED,
+                    part.endpoints().size()
+                            + " engines ended under requests with message "
+                            + mParts.indexOf(part.part()),
+                    Optional.of(part.retryAfter()));
+        }
+    }
+
+    /** Returns whether the request may be sent to another engine after one has ended. */
+    boolean mayRepeat() {
+        return !mIsTest && mQuarantine.mayRepeat(mParts);
+    }
+
+    /** Records that an engine was lost after it had received the request and sent no event. */
+    void interrupted(String endpoint) {
+        if (mRouter.isServing(endpoint)) {
+            mQuarantine.interrupted(mParts, endpoint);
+        }
+    }
+
+    /** Records the first event of an answer. */
+    void began() {
+        mBeganNanos = mClock.nanoTime();
+    }
+
+    /** Records the end of an answer that is complete. */
+    void answered() {
+        mQuarantine.answered(mParts, mBeganNanos);
+    }
+}
--- a/entry/src/main/java/org/sesamedeck/caller/ChatRelay.java
+++ b/entry/src/main/java/org/sesamedeck/caller/ChatRelay.java
@@ -32,7 +32,6 @@
     private static final int SERVER_ERROR = 500;
     private static final int MAX_ATTEMPTS = 3;
     private static final int MAX_ENGINE_FAILURES = 3;
-    private static final Duration BACKOFF = Duration.ofMillis(50);
     private static final Duration ERROR_BODY_TIMEOUT = Duration.ofMillis(500);
 
     /** Maximum time that an interrupted request waits for an engine that can take it over. */
@@ -47,6 +46,7 @@
     private final OpenRequest mOpenRequest;
     private final ChatRequest mRequest;
     private final RequestProfile mProfile;
+    private final ChatPromptGuard mPromptGuard;
     private final boolean mMayRepeat;
     private final long mDeadlineNanos;
     private final EngineRequests mEngineRequests;
@@ -69,12 +69,14 @@
             OpenRequest openRequest,
             ChatRequest request,
             RequestProfile profile,
+            ChatPromptGuard promptGuard,
             boolean mayRepeat,
             long deadlineNanos) {
         mContext = context;
         mOpenRequest = openRequest;
         mRequest = request;
         mProfile = profile;
+        mPromptGuard = promptGuard;
         mMayRepeat = mayRepeat;
         mDeadlineNanos = deadlineNanos;
         mEngineRequests =
@@ -92,9 +94,11 @@
             OpenRequest openRequest,
             ChatRequest request,
             RequestProfile profile,
+            ChatPromptGuard promptGuard,
             boolean mayRepeat,
             long deadlineNanos) {
-        return new ChatRelay(context, openRequest, request, profile, mayRepeat, deadlineNanos);
+        return new ChatRelay(
+                context, openRequest, request, profile, promptGuard, mayRepeat, deadlineNanos);
     }
 
     /** Resumes the stream of another relay after the event that the token identifies. */
@@ -148,7 +152,7 @@
 
     private Optional<RelayEvent> step(Duration remaining) {
         if (mAttempt == null && !chooseEngine()) {
-            backOff();
+            RetryBackoff.await();
             return Optional.empty();
         }
         if (!mAttempt.isConnected()) {
@@ -301,6 +305,7 @@
             return Optional.empty();
         }
         if (number == 1) {
+            mPromptGuard.began();
             mAttempt.assignment().ifPresent(Assignment::firstToken);
         }
         mAttempt.advanceTo(number);
@@ -327,6 +332,7 @@
 
     private void succeed() {
         mIsDone = true;
+        mPromptGuard.answered();
         mAttempt.assignment()
                 .ifPresent(
                         assignment -> {
@@ -350,7 +356,7 @@
             failOver(Optional.empty(), failure.getMessage());
             return;
         }
-        backOff();
+        RetryBackoff.await();
     }
 
     /** Ends the attempt; the next step tries another engine unless the policy forbids it. */
@@ -373,6 +379,9 @@
         if (failed.mayHaveStream()) {
             cancelStream(failed);
         }
+        if (failed.mayHaveStream() && failed.lastNumber() == 0) {
+            mPromptGuard.interrupted(failed.endpoint());
+        }
         mExcluded.add(failed.endpoint());
         if (mResponse.isFinished(mRequest.choiceCount())) {
             // The response is complete; only the end marker is missing.
@@ -406,7 +415,7 @@
                 mWasRejected,
                 mHasDelivered,
                 canContinue,
-                mAttemptCount < MAX_ATTEMPTS,
+                mAttemptCount < MAX_ATTEMPTS && mPromptGuard.mayRepeat(),
                 hasRetry);
     }
 
@@ -438,13 +447,4 @@
             cancelStream(attempt);
         }
     }
-
-    private static void backOff() {
-        try {
-            Thread.sleep(BACKOFF.toMillis());
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            throw CallerException.of(ResultCode.OUTCOME_UNKNOWN, "interrupted");
-        }
-    }
 }
--- a/entry/src/main/java/org/sesamedeck/caller/ChatRequest.java
+++ b/entry/src/main/java/org/sesamedeck/caller/ChatRequest.java
@@ -28,6 +28,7 @@
  * @param messageBytes size of the messages in bytes
  * @param toolCount number of tool definitions
  * @param prefixHashes hashes of the prompt prefixes at block boundaries, longest last
+ * @param messageHashes hash of each message
  * @param engineBody body that is sent to engines, with streaming enabled
  */
 record ChatRequest(
@@ -38,6 +39,7 @@
         long messageBytes,
         int toolCount,
         long[] prefixHashes,
+        long[] messageHashes,
         byte[] engineBody) {
     private static final ObjectMapper MAPPER =
             Json.newMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
@@ -95,6 +97,7 @@
                     messages.length,
                     tree.path("tools").size(),
                     prefixHashes(model.textValue(), messages),
+                    messageHashes(tree.path("messages")),
                     engineBody);
         } catch (JsonProcessingException unwritable) {
             throw badRequest("the body holds text that cannot be written as UTF-8");
@@ -186,6 +189,18 @@
         return hashes.stream().mapToLong(Long::longValue).toArray();
     }
 
+    private static long[] messageHashes(JsonNode messages) {
+        long[] hashes = new long[messages.size()];
+        for (int i = 0; i < hashes.length; i++) {
+            long hash = FNV_OFFSET;
+            for (byte value : messages.get(i).toString().getBytes(StandardCharsets.UTF_8)) {
+                hash = (hash ^ value) * FNV_PRIME;
+            }
+            hashes[i] = hash;
+        }
+        return hashes;
+    }
+
     private static CallerException badRequest(String message) {
         return CallerException.of(ResultCode.BAD_REQUEST, message);
     }
--- a/entry/src/main/java/org/sesamedeck/caller/ChatResource.java
+++ b/entry/src/main/java/org/sesamedeck/caller/ChatResource.java
@@ -74,6 +74,8 @@
                         bytes);
         checkEntitlement(caller, request.model());
         RequestProfile profile = requestProfile(caller, request, priority, deadlineNanos);
+        ChatPromptGuard promptGuard =
+                ChatPromptGuard.of(mContext, request, caller.clientAccount().name());
         Optional<String> idempotencyKey =
                 Optional.ofNullable(servletRequest.getHeader(ClaimGuard.HEADER));
         ChatRelay relay =
@@ -82,6 +84,7 @@
                         openRequest,
                         request,
                         profile,
+                        promptGuard,
                         idempotencyKey.isEmpty(),
                         deadlineNanos);
         ChatDelivery delivery =
@@ -92,6 +95,7 @@
             idempotencyKey.ifPresent(key -> delivery.setGuard(resumedGuard(caller, key, token)));
             relay.resumeFrom(token, isOtherRegion(token));
         } else {
+            promptGuard.check();
             mContext.retryBudget().recordRequest();
             delivery.setTicket(admit(profile, openRequest));
             Optional<StoredOutcome> stored =
--- a/entry/src/main/java/org/sesamedeck/caller/RelayContext.java
+++ b/entry/src/main/java/org/sesamedeck/caller/RelayContext.java
@@ -4,6 +4,7 @@
 import org.sesamedeck.endpoint.EndpointClient;
 import org.sesamedeck.routing.RetryBudget;
 import org.sesamedeck.routing.Router;
+import org.sesamedeck.routing.quarantine.PartQuarantine;
 
 /**
  * Dependencies shared by all relays.
@@ -11,6 +12,7 @@
  * @param endpointClient sends requests to endpoints
  * @param router chooses endpoints
  * @param clock monotonic time
+ * @param quarantine keeps messages from engines that end under them
  * @param resumeTokens signs and verifies resume tokens
  * @param retryBudget limits retries
  * @param metrics metrics of this entry process
@@ -20,6 +22,7 @@
         EndpointClient endpointClient,
         Router router,
         Clock clock,
+        PartQuarantine quarantine,
         ResumeTokenCodec resumeTokens,
         RetryBudget retryBudget,
         EntryMetrics metrics,
--- a/entry/src/main/java/org/sesamedeck/entry/EntryModule.java
+++ b/entry/src/main/java/org/sesamedeck/entry/EntryModule.java
@@ -26,6 +26,7 @@
 import org.sesamedeck.routing.RetryBudget;
 import org.sesamedeck.routing.Router;
 import org.sesamedeck.routing.RouterSettings;
+import org.sesamedeck.routing.quarantine.PartQuarantine;
 
 /** Guice bindings for the components of an entry process. */
 final class EntryModule extends AbstractModule {
@@ -113,6 +114,8 @@
                 endpointClient,
                 router,
                 clock,
+                PartQuarantine.create(
+                        clock, mSettings.get(DaemonSettings.NAME), new QuarantineLogger()),
                 ResumeTokenCodec.of(mSettings.get(EntrySettings.RESUME_KEY)),
                 RetryBudget.create(),
                 metrics,
--- a/entry/src/test/java/org/sesamedeck/entry/FakeEngine.java
+++ b/entry/src/test/java/org/sesamedeck/entry/FakeEngine.java
@@ -42,6 +42,9 @@
 
     volatile String mRejectionHeaders = "";
 
+    /** When not empty, the engine ends as soon as it receives a request with this text. */
+    volatile String mCrashingText = "";
+
     int port() {
         return mServer.port();
     }
@@ -91,6 +94,10 @@
                     output, mStatus, mRejectionHeaders, "{\"error\":{\"message\":\"no\"}}");
             return true;
         }
+        if (!mCrashingText.isEmpty() && request.text().contains(mCrashingText)) {
+            mStreams.clear();
+            return false;
+        }
         String id = request.headers().get("x-request-id");
         mStreams.put(id, events(MAPPER.readTree(request.body())));
         return stream(id, 0, output);
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/PartQuarantine.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/PartQuarantine.java
@@ -226,7 +226,6 @@
     public synchronized List<PartReport> takeReports() {
         long now = mClock.nanoTime();
         evaluateIfDue();
-        reportConfirmed(now);
         if (now - mRepeatedAtNanos >= REPEAT_INTERVAL.toNanos()) {
             mRepeatedAtNanos = now;
             repeatEvidence(now);
@@ -375,6 +374,7 @@
             return;
         }
         mEvaluatedAtNanos = now;
+        reportConfirmed(now);
         List.copyOf(mEvidence.values()).stream()
                 .filter(evidence -> isExpired(evidence, now))
                 .forEach(this::forget);
