--- a/entry/src/test/java/org/sesamedeck/entry/FakeControl.java
+++ b/entry/src/test/java/org/sesamedeck/entry/FakeControl.java
@@ -45,6 +45,8 @@
     private final Map<String, ClaimCompletion> mCompletions = new ConcurrentHashMap<>();
     private final HostAddress mAddress;
     final List<Envelope> mReceived = new CopyOnWriteArrayList<>();
+    volatile String mPlans = PLANS;
+    volatile long mConfigurationVersion = 1;
     volatile boolean mClaimsAvailable = true;
     volatile boolean mSendsReplies = true;
 
@@ -65,6 +67,12 @@
         }
     }
 
+    /** Withdraws the key of the client account in the next configuration that is sent. */
+    void withdrawKey(String key) {
+        mPlans = mPlans.replace(sha256(key), sha256("another key"));
+        mConfigurationVersion++;
+    }
+
     int port() {
         return mAddress.port();
     }
@@ -79,6 +87,11 @@
         return this;
     }
 
+    FakeControl withoutEndpoints() {
+        mEndpoints.clear();
+        return this;
+    }
+
     FakeControl withService(String name, int port) {
         mEndpoints.add(endpoint(name, port, "cookbook-app").build());
         return this;
@@ -110,8 +123,8 @@
                                             .setLiveEntries(1)
                                             .setConfiguration(
                                                     ConfigurationDocument.newBuilder()
-                                                            .setVersion(1)
-                                                            .setPlansIni(PLANS)
+                                                            .setVersion(mConfigurationVersion)
+                                                            .setPlansIni(mPlans)
                                                             .setEntitlementsIni(ENTITLEMENTS))
                                             .setEndpoints(
                                                     EndpointTable.newBuilder()
