Take answers that other processes report as proof that engines work

A process holds a part responsible only when calls without it are answered, and counted only its own answers, of which it had none while five of eight engines were starting. Reports of answers to other parts show the same.

--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/PartQuarantine.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/PartQuarantine.java
@@ -114,12 +114,13 @@
                 releaseIfRefuted(evidence);
             }
         }
-        if (!parts.isEmpty() && !mEvidence.isEmpty()) {
-            countAnswerWithout(parts, beganAtNanos);
+        if (!parts.isEmpty()) {
+            recordAnswerWithout(parts, beganAtNanos);
         }
     }
 
-    private void countAnswerWithout(List<PartKey> parts, long beganAtNanos) {
+    /** Records for the other parts of the same target that an endpoint has answered a call. */
+    private void recordAnswerWithout(List<PartKey> parts, long beganAtNanos) {
         int target = parts.get(0).targetHash();
         for (PartEvidence evidence : mEvidence.values()) {
             if (evidence.part().targetHash() == target && !parts.contains(evidence.part())) {
@@ -255,6 +256,7 @@
     }
 
     private void receiveAnswer(PartReport report) {
+        recordAnswerWithout(List.of(report.part()), report.atNanos());
         PartEvidence evidence = mEvidence.get(report.part());
         if (evidence != null && evidence.addAnswer(report, false)) {
             mOutbox.add(report);
