Let parts that are answered be no rivals of a harmful one

Cause: a process takes the suspect with the most ends. The first part of the route's prompts and a frequent second one, both sound, were in more unanswered calls at these processes than the harmful one; they could not be held responsible themselves, since they were answered a short time ago, and yet stood before it.

A part that was answered a short time ago is no rival of one that was not. partThatIsAnsweredDoesNotHideAHarmfulOne failed before.

--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/ResponsibilityPolicy.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/ResponsibilityPolicy.java
@@ -22,7 +22,8 @@
  *       one failure of a failure domain.
  *   <li>More ends than any other suspect that was there, and of two with the same ends the one
  *       deeper in the prompt, since fewer requests have it. Otherwise the parts that always precede
- *       a harmful one would be refused together with it.
+ *       a harmful one would be refused together with it. Parts that were answered a short time ago
+ *       are no rivals of one that was not.
  *   <li>No other part that is quarantined already accounts for the ends.
  *   <li>Calls without the part are answered meanwhile. If nothing is answered, the endpoints fail
  *       by themselves, and refusing the part would help nobody.
@@ -46,7 +47,8 @@
     private ResponsibilityPolicy() {}
 
     /** A suspect with the ends that count against it. */
-    private record Suspect(PartEvidence evidence, List<EndpointEnd> ends) {
+    private record Suspect(
+            PartEvidence evidence, List<EndpointEnd> ends, boolean isAnsweredLately) {
         boolean sharesEndWith(Suspect other) {
             Set<String> endpoints = evidence.endedEndpoints();
             return other.ends.stream().anyMatch(end -> endpoints.contains(end.endpoint()));
@@ -69,11 +71,12 @@
                                 evidence ->
                                         new Suspect(
                                                 evidence,
-                                                evidence.countedEnds(explained, nowNanos)))
+                                                evidence.countedEnds(explained, nowNanos),
+                                                evidence.isAnsweredWithin(ANSWER_MEMORY, nowNanos)))
                         .filter(suspect -> !suspect.ends.isEmpty())
                         .toList();
         return suspects.stream()
-                .filter(suspect -> isProven(suspect, nowNanos))
+                .filter(ResponsibilityPolicy::isProven)
                 .filter(suspect -> isLeading(suspect, suspects))
                 .max(
                         Comparator.<Suspect>comparingInt(suspect -> suspect.ends.size())
@@ -81,11 +84,11 @@
                 .map(Suspect::evidence);
     }
 
-    private static boolean isProven(Suspect suspect, long nowNanos) {
+    private static boolean isProven(Suspect suspect) {
         if (!suspect.evidence.wasAnsweredWithoutPart()) {
             return false;
         }
-        return suspect.evidence.isAnsweredWithin(ANSWER_MEMORY, nowNanos)
+        return suspect.isAnsweredLately
                 ? isProvenInDoubt(suspect)
                 : suspect.ends.size() >= REQUIRED_ENDS;
     }
@@ -99,7 +102,8 @@
 
     private static boolean isLeading(Suspect suspect, List<Suspect> suspects) {
         for (Suspect other : suspects) {
-            if (other == suspect || !suspect.sharesEndWith(other)) {
+            boolean isSound = other.isAnsweredLately && !suspect.isAnsweredLately;
+            if (other == suspect || isSound || !suspect.sharesEndWith(other)) {
                 continue;
             }
             int more = other.ends.size() - suspect.ends.size();
--- a/routing/src/test/java/org/sesamedeck/routing/quarantine/PartQuarantineTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/quarantine/PartQuarantineTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sesamedeck.core.ManualClock;
 
 /** Tests the quarantine of prompt parts in a simulated fleet. */
 class PartQuarantineTest {
@@ -164,6 +165,30 @@
         assertThat(lastTenMinutes, lessThanOrEqualTo(4));
     }
 
+    /**
+     * Guards against a harmful part that stays in use because a sound one, answered a short time
+     * ago, was in more calls at the endpoints that ended.
+     */
+    @Test
+    void partThatIsAnsweredDoesNotHideAHarmfulOne() {
+        ManualClock clock = ManualClock.create();
+        PartQuarantine quarantine =
+                PartQuarantine.create(clock, "process", QuarantineListener.ignoring());
+        PartKey common = SimulatedFleet.route(0);
+        quarantine.answered(List.of(common), clock.nanoTime());
+        for (int end = 0; end < 4; end++) {
+            clock.advance(Duration.ofMillis(200));
+            quarantine.interrupted(List.of(common), "engine-" + end);
+            if (end > 0) {
+                quarantine.interrupted(List.of(common, HARMFUL), "engine-" + end);
+            }
+        }
+        quarantine.answered(List.of(SimulatedFleet.route(1)), clock.nanoTime());
+        clock.advance(Duration.ofSeconds(1));
+        assertThat(quarantine.find(List.of(HARMFUL)).isPresent(), is(true));
+        assertThat(quarantine.find(List.of(common)).isPresent(), is(false));
+    }
+
     /** Guards against lost connections of an endpoint that lives. */
     @Test
     void responseToAnOlderCallRefutesTheEnd() {
