--- a/gateway/src/main/java/org/sesamedeck/gateway/MeteredDecisionLog.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/MeteredDecisionLog.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import org.sesamedeck.request.Decision;
@@ -21,6 +22,7 @@
     private final DecisionLog mLog;
     private final Map<Decision, Long> mDecisions = new EnumMap<>(Decision.class);
     private final Map<RequestOutcome, Long> mOutcomes = new EnumMap<>(RequestOutcome.class);
+    private final Map<Object, Long> mRefusals = new TreeMap<>();
     private final Histogram mTimeToFirstByte = new Histogram(MAX_MILLIS, SIGNIFICANT_DIGITS);
     private final Histogram mTotalTime = new Histogram(MAX_MILLIS, SIGNIFICANT_DIGITS);
 
@@ -41,7 +43,7 @@
 
     @Override
     public synchronized void requestEnded(RequestTrace trace) {
-        trace.entries().forEach(entry -> mDecisions.merge(entry.decision(), 1L, Long::sum));
+        trace.entries().forEach(this::count);
         mOutcomes.merge(trace.outcome(), 1L, Long::sum);
         RequestOutcome outcome = trace.outcome();
         if (outcome == RequestOutcome.SERVED || outcome == RequestOutcome.SERVED_LATE) {
@@ -51,6 +53,15 @@
         mLog.requestEnded(trace);
     }
 
+    private void count(LogEntry entry) {
+        mDecisions.merge(entry.decision(), 1L, Long::sum);
+        if (entry.decision() == Decision.REFUSED) {
+            entry.fields().stream()
+                    .filter(field -> field.name().equals("code"))
+                    .forEach(field -> mRefusals.merge(field.value(), 1L, Long::sum));
+        }
+    }
+
     private static long millis(long nanos) {
         return Math.max(0, Math.min(MAX_MILLIS, TimeUnit.NANOSECONDS.toMillis(nanos)));
     }
@@ -63,6 +74,8 @@
         mDecisions.forEach(
                 (decision, count) ->
                         text.value("sesamedeck_decisions_total", "event", decision, count));
+        mRefusals.forEach(
+                (code, count) -> text.value("sesamedeck_refusals_total", "code", code, count));
         for (double quantile : QUANTILES) {
             text.value(
                     "sesamedeck_first_byte_milliseconds",
