--- a/coordination/src/main/java/org/sesamedeck/node/RendezvousRanking.java
+++ b/coordination/src/main/java/org/sesamedeck/node/RendezvousRanking.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.sesamedeck.core.HashMixer;
 
 /**
  * Ranks names for a key by rendezvous hashing: processes with the same members agree on the order,
@@ -42,9 +43,7 @@
         for (byte value : text.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ (value & 0xff)) * FNV_PRIME;
         }
-        // FNV leaves the high bits of short texts poorly mixed; this is the MurmurHash3 finalizer.
-        hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-        hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
-        return hash ^ (hash >>> 33);
+        // FNV leaves the high bits of short texts poorly mixed.
+        return HashMixer.mix(hash);
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/ExchangeTopology.java
+++ b/routing/src/main/java/org/sesamedeck/routing/ExchangeTopology.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import org.sesamedeck.core.HashMixer;
 
 /**
  * Which processes exchange load messages with each other. Every process derives the same topology
@@ -65,14 +66,8 @@
         return new ExchangeTopology(List.copyOf(groups), ownGroup, others);
     }
 
-    /** A hash of the name with the finalizer of MurmurHash3. */
     private static long rank(String name) {
-        long hash = name.hashCode();
-        hash ^= hash >>> 33;
-        hash *= 0xff51afd7ed558ccdL;
-        hash ^= hash >>> 33;
-        hash *= 0xc4ceb9fe1a85ec53L;
-        return hash ^ hash >>> 33;
+        return HashMixer.mix(name.hashCode());
     }
 
     /** Returns whether every process sends to every other one. */
--- a/routing/src/main/java/org/sesamedeck/routing/RendezvousSubset.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RendezvousSubset.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.sesamedeck.core.HashMixer;
 
 /**
  * Chooses the endpoints that one router uses. Rendezvous hashing keeps the choice stable: when an
@@ -61,16 +62,12 @@
         return chosen.subList(0, Math.min(chosen.size(), mSettings.subsetSize()));
     }
 
-    /** Rendezvous weight: an FNV-1a hash of both names with the finalizer of MurmurHash3. */
+    /** Rendezvous weight: a mixed FNV-1a hash of both names. */
     private long weight(EndpointDescription endpoint) {
         long hash = 0xcbf29ce484222325L;
         hash = mix(hash, mRouter);
         hash = mix(hash, endpoint.name());
-        hash ^= hash >>> 33;
-        hash *= 0xff51afd7ed558ccdL;
-        hash ^= hash >>> 33;
-        hash *= 0xc4ceb9fe1a85ec53L;
-        return hash ^ hash >>> 33;
+        return HashMixer.mix(hash);
     }
 
     /** FNV-1a over the characters, with a separator. */
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/RetestSchedule.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/RetestSchedule.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.sesamedeck.core.HashMixer;
 
 /**
  * Decides whether this process may test a quarantined part with one request. Only one process may
@@ -36,12 +37,8 @@
         return before < testers;
     }
 
-    /** A hash of part and process with the finalizer of MurmurHash3. */
     private static long rank(PartKey part, String process) {
-        long hash = part.identifier() * 31 + part.targetHash();
-        hash = hash * 31 + process.hashCode();
-        hash = (hash ^ hash >>> 33) * 0xff51afd7ed558ccdL;
-        hash = (hash ^ hash >>> 33) * 0xc4ceb9fe1a85ec53L;
-        return hash ^ hash >>> 33;
+        long partHash = part.identifier() * 31 + part.targetHash();
+        return HashMixer.mix(partHash * 31 + process.hashCode());
     }
 }
