Send reports of ends before reports of answers

Cause: each answer to a sound part with evidence was news to every process for as long as the part was used, and reports waited in one queue.

Ends and answers wait separately, and ends go first. An answer is passed on only if it refutes an end or the part is not known as answered in the last 10 s.

--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/PartQuarantine.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/PartQuarantine.java
@@ -258,10 +258,16 @@
     private void receiveAnswer(PartReport report) {
         recordAnswerWithout(List.of(report.part()), report.atNanos());
         PartEvidence evidence = mEvidence.get(report.part());
-        if (evidence != null && evidence.addAnswer(report, false)) {
+        if (evidence == null) {
+            return;
+        }
+        boolean isDecisive =
+                !evidence.ends().isEmpty()
+                        || !evidence.isAnsweredWithin(RECENT_ANSWER, mClock.nanoTime());
+        if (evidence.addAnswer(report, false) && isDecisive) {
             mOutbox.add(report);
-            releaseIfRefuted(evidence);
         }
+        releaseIfRefuted(evidence);
     }
 
     private boolean addEnd(PartReport report, boolean isOwn) {
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/ReportOutbox.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/ReportOutbox.java
@@ -5,11 +5,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.sesamedeck.routing.quarantine.PartReport.Kind;
 
 /**
- * Reports that wait to be sent. Datagrams may be lost, so each report is sent several times. The
- * number of reports in a message and of those that wait is bounded; the oldest are dropped, since
- * the ends that follow tell the same.
+ * Reports that wait to be sent. Datagrams may be lost, so each report is sent several times. Ends
+ * go before answers, since every process needs the ends to refuse a harmful part, and answers to
+ * the many sound parts would keep them waiting. The number of reports in a message and of those
+ * that wait is bounded; the oldest of a kind are dropped.
  */
 final class ReportOutbox {
     /** Makes the loss of all copies unlikely. */
@@ -18,9 +20,10 @@
     /** Keeps a message within some kilobytes. */
     private static final int MAX_REPORTS_PER_MESSAGE = 32;
 
-    private static final int MAX_WAITING = 256;
+    private static final int MAX_WAITING_OF_A_KIND = 128;
 
-    private final Map<PartReport, Integer> mCopies = new LinkedHashMap<>();
+    private final Map<PartReport, Integer> mEnds = new LinkedHashMap<>();
+    private final Map<PartReport, Integer> mAnswers = new LinkedHashMap<>();
 
     /** Queues a report for the usual number of copies. */
     void add(PartReport report) {
@@ -29,32 +32,42 @@
 
     /** Queues one more copy of a report that was sent before. */
     void repeat(PartReport report) {
-        if (!mCopies.containsKey(report)) {
+        if (!waitingOfKind(report).containsKey(report)) {
             put(report, 1);
         }
     }
 
+    private Map<PartReport, Integer> waitingOfKind(PartReport report) {
+        return report.kind() == Kind.INTERRUPTED ? mEnds : mAnswers;
+    }
+
     private void put(PartReport report, int copies) {
-        mCopies.put(report, copies);
-        if (mCopies.size() > MAX_WAITING) {
-            mCopies.remove(mCopies.keySet().iterator().next());
+        Map<PartReport, Integer> waiting = waitingOfKind(report);
+        waiting.put(report, copies);
+        if (waiting.size() > MAX_WAITING_OF_A_KIND) {
+            waiting.remove(waiting.keySet().iterator().next());
         }
     }
 
     /** Returns the reports of the next message. */
     List<PartReport> take() {
         List<PartReport> taken = new ArrayList<>();
-        Iterator<Map.Entry<PartReport, Integer>> waiting = mCopies.entrySet().iterator();
+        take(mEnds, taken);
+        take(mAnswers, taken);
+        return taken;
+    }
+
+    private static void take(Map<PartReport, Integer> waiting, List<PartReport> taken) {
         Map<PartReport, Integer> again = new LinkedHashMap<>();
-        while (waiting.hasNext() && taken.size() < MAX_REPORTS_PER_MESSAGE) {
-            Map.Entry<PartReport, Integer> next = waiting.next();
+        Iterator<Map.Entry<PartReport, Integer>> entries = waiting.entrySet().iterator();
+        while (entries.hasNext() && taken.size() < MAX_REPORTS_PER_MESSAGE) {
+            Map.Entry<PartReport, Integer> next = entries.next();
             taken.add(next.getKey());
             if (next.getValue() > 1) {
                 again.put(next.getKey(), next.getValue() - 1);
             }
-            waiting.remove();
+            entries.remove();
         }
-        mCopies.putAll(again);
-        return taken;
+        waiting.putAll(again);
     }
 }
--- a/routing/src/test/java/org/sesamedeck/routing/quarantine/PartQuarantineTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/quarantine/PartQuarantineTest.java
@@ -48,6 +48,23 @@
         assertThat(fleet.largestMessage(), lessThanOrEqualTo(32));
     }
 
+    /**
+     * Guards against processes that go on sending a part which the others refuse, because the
+     * reports on it wait behind those on other parts.
+     */
+    @Test
+    void allProcessesOfALargeFleetDecideWithinSeconds() {
+        SimulatedFleet fleet = new SimulatedFleet(89, 63, 0.05, 4);
+        fleet.run(Duration.ofSeconds(10), 52, 0, HARMFUL);
+        fleet.setHarmful(HARMFUL, true);
+        fleet.run(Duration.ofSeconds(6), 52, 0.44, HARMFUL);
+        List<String> undecided =
+                fleet.names().stream()
+                        .filter(name -> fleet.quarantine(name).find(List.of(HARMFUL)).isEmpty())
+                        .toList();
+        assertThat(undecided, is(empty()));
+    }
+
     /**
      * Guards against sound parts that stay refused after ends, power cuts, lost messages, pauses
      * and restarts, and against a harmful part that stays refused after it has become sound.
@@ -189,6 +206,51 @@
         assertThat(quarantine.find(List.of(common)).isPresent(), is(false));
     }
 
+    /**
+     * Guards against reports on a harmful part that wait behind the answers to sound parts, which
+     * come without end.
+     */
+    @Test
+    void answersToSoundPartsDoNotDelayReportsOnASuspect() {
+        ManualClock clock = ManualClock.create();
+        PartQuarantine quarantine =
+                PartQuarantine.create(clock, "process", QuarantineListener.ignoring());
+        for (int part = 0; part < 40; part++) {
+            quarantine.receive(List.of(interrupted(SimulatedFleet.subject(part), "e0", "p0")));
+        }
+        List<PartReport> sent = new ArrayList<>();
+        for (int round = 0; round < 50; round++) {
+            clock.advance(SimulatedFleet.TICK);
+            for (int part = 0; part < 40; part++) {
+                quarantine.receive(
+                        List.of(
+                                new PartReport(
+                                        SimulatedFleet.subject(part),
+                                        PartReport.Kind.ANSWERED,
+                                        0,
+                                        "",
+                                        "p" + round % 4,
+                                        clock.nanoTime())));
+            }
+            if (round >= 40) {
+                quarantine.receive(
+                        List.of(
+                                new PartReport(
+                                        HARMFUL,
+                                        PartReport.Kind.INTERRUPTED,
+                                        2,
+                                        "engine-" + round,
+                                        "p" + round % 4,
+                                        clock.nanoTime())));
+                sent.addAll(quarantine.takeReports());
+            } else {
+                quarantine.takeReports();
+            }
+        }
+        long ends = sent.stream().filter(r -> r.part().equals(HARMFUL)).distinct().count();
+        assertThat(ends, is(10L));
+    }
+
     /** Guards against lost connections of an endpoint that lives. */
     @Test
     void responseToAnOlderCallRefutesTheEnd() {
