Name the crash of an endpoint by the usual word

The quarantine called it an end, which reads like the end of a response or of a process. Attempt.succeeded decides once by the phase.

--- a/benchmarks/src/main/java/org/sesamedeck/benchmarks/QuarantineBenchmark.java
+++ b/benchmarks/src/main/java/org/sesamedeck/benchmarks/QuarantineBenchmark.java
@@ -32,7 +32,7 @@
 @Measurement(iterations = 5, time = 1)
 @Fork(1)
 public class QuarantineBenchmark {
-    private static final int ENDS_PER_PART = 16;
+    private static final int CRASHES_PER_PART = 16;
     private static final Duration ROUND_INTERVAL = Duration.ofMillis(100);
 
     /** Parts with evidence against them; 512 is the most that a process keeps. */
@@ -44,7 +44,7 @@
     private List<PartKey> mPrompt;
     private long mAnswers;
 
-    /** Fills the evidence with ends that are reported by other processes. */
+    /** Fills the evidence with crashes that are reported by other processes. */
     @Setup(Level.Iteration)
     public void prepare() {
         mClock = ManualClock.create();
@@ -52,15 +52,15 @@
         mQuarantine = PartQuarantine.create(mClock, "process-0", QuarantineListener.ignoring());
         List<PartReport> reports = new ArrayList<>();
         for (int part = 0; part < mSuspects; part++) {
-            for (int end = 0; end < ENDS_PER_PART; end++) {
+            for (int crash = 0; crash < CRASHES_PER_PART; crash++) {
                 reports.add(
                         new PartReport(
                                 PartKey.of("models/m", 1_000 + part),
                                 PartReport.Kind.INTERRUPTED,
                                 2,
-                                "engine-" + part + "-" + end,
-                                "process-" + end % 4,
-                                mClock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(end * 200)));
+                                "engine-" + part + "-" + crash,
+                                "process-" + crash % 4,
+                                mClock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(crash * 200)));
             }
         }
         mQuarantine.receive(reports);
--- a/entry/src/main/java/org/sesamedeck/caller/ChatPromptGuard.java
+++ b/entry/src/main/java/org/sesamedeck/caller/ChatPromptGuard.java
@@ -52,13 +52,13 @@
             throw CallerException.retryAfter(
                     ResultCode.PART_QUARANTINED,
                     part.endpoints().size()
-                            + " engines ended under requests with message "
+                            + " engines crashed under requests with message "
                             + mParts.indexOf(part.part()),
                     Optional.of(part.retryAfter()));
         }
     }
 
-    /** Returns whether the request may be sent to another engine after one has ended. */
+    /** Returns whether the request may be sent to another engine after one has crashed. */
     boolean mayRepeat() {
         return !mIsTest && mQuarantine.mayRepeat(mParts);
     }
--- a/entry/src/main/java/org/sesamedeck/caller/RelayContext.java
+++ b/entry/src/main/java/org/sesamedeck/caller/RelayContext.java
@@ -12,7 +12,7 @@
  * @param endpointClient sends requests to endpoints
  * @param router chooses endpoints
  * @param clock monotonic time
- * @param quarantine keeps messages from engines that end under them
+ * @param quarantine keeps messages from engines that crash under them
  * @param resumeTokens signs and verifies resume tokens
  * @param retryBudget limits retries
  * @param metrics metrics of this entry process
--- a/entry/src/main/java/org/sesamedeck/entry/QuarantineLogger.java
+++ b/entry/src/main/java/org/sesamedeck/entry/QuarantineLogger.java
@@ -4,7 +4,7 @@
 import org.sesamedeck.routing.quarantine.QuarantineListener;
 import org.sesamedeck.routing.quarantine.QuarantinedPart;
 
-/** Logs the decisions on messages under which engines end. */
+/** Logs the decisions on messages under which engines crash. */
 final class QuarantineLogger implements QuarantineListener {
     private static final System.Logger LOGGER = System.getLogger(QuarantineLogger.class.getName());
 
@@ -35,7 +35,7 @@
     private static void log(String decision, QuarantinedPart part) {
         LOGGER.log(
                 System.Logger.Level.WARNING,
-                "message {0} is {1}: engines {2} ended under it, next test in {3} ms",
+                "message {0} is {1}: engines {2} crashed under it, next test in {3} ms",
                 part.part().partName(),
                 decision,
                 part.endpoints(),
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -34,9 +34,10 @@
 /**
  * Exchanges load, prefix updates and reports on prompt parts with the other processes by datagrams:
  * sends how much work this process has at each endpoint, which prompt prefixes the endpoints hold
- * and what ended under which prompts, and gives router and quarantine what the others send. The
- * load in a lost datagram is superseded by the next one and reports are repeated, whereas prefix
- * updates are not sent again; correctness does not depend on delivery. Confined to one event loop.
+ * and which prompts endpoints crashed under, and gives router and quarantine what the others send.
+ * The load in a lost datagram is superseded by the next one and reports are repeated, whereas
+ * prefix updates are not sent again; correctness does not depend on delivery. Confined to one event
+ * loop.
  */
 final class PeerExchange implements FeedFollower.Listener<HostAddress>, AutoCloseable {
     /** The router's error grows with the age of the load data. */
--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -238,12 +238,12 @@
         }
         mAssignment.succeeded(0, 0);
         mAssignment.close();
-        if (mPhase != RequestPhase.PREFILL) {
-            mPromptParts.answered(mHasEvents ? mFirstEventNanos : now());
-        }
         if (mPhase == RequestPhase.PREFILL) {
             mLifecycle.promptProcessed(this, head, mBody.toByteArray());
-        } else if (isStream()) {
+            return;
+        }
+        mPromptParts.answered(mHasEvents ? mFirstEventNanos : now());
+        if (isStream()) {
             mLifecycle.streamEnded(this, head);
         } else {
             mLifecycle.fullResponse(this, head, mBody.toByteArray());
--- a/request/src/main/java/org/sesamedeck/request/PromptPartGuard.java
+++ b/request/src/main/java/org/sesamedeck/request/PromptPartGuard.java
@@ -58,10 +58,10 @@
                 + quarantined.part().partName()
                 + " is quarantined: "
                 + quarantined.endpoints().size()
-                + " endpoints ended under requests with it";
+                + " endpoints crashed under requests with it";
     }
 
-    /** Returns whether the request may be sent to another endpoint after one has ended. */
+    /** Returns whether the request may be sent to another endpoint after one has crashed. */
     boolean mayRepeat() {
         return mParts.isEmpty() || !mIsTest && mQuarantine.mayRepeat(mParts);
     }
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/PartEvidence.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/PartEvidence.java
@@ -12,29 +12,29 @@
 import java.util.stream.Collectors;
 
 /**
- * What is known about one prompt part: the ends of endpoints under unanswered calls with it, and
- * its latest answers. Answers refute the ends before them: a part that ends each endpoint that
- * begins to answer it is never answered. What this process has seen itself is refuted only by its
- * own answers or by those of two others, so that one false report does not hide a part.
+ * What is known about one prompt part: the crashes of endpoints under unanswered calls with it, and
+ * its latest answers. Answers refute the crashes before them: a part that crashes each endpoint
+ * that begins to answer it is never answered. What this process has seen itself is refuted only by
+ * its own answers or by those of two others, so that one false report does not hide a part.
  */
 final class PartEvidence {
-    /** The oldest ends beyond it are dropped; more of them change no decision. */
-    private static final int MAX_ENDS = 16;
+    /** The oldest crashes beyond it are dropped; more of them change no decision. */
+    private static final int MAX_CRASHES = 16;
 
     /** Processes whose latest answers are kept. */
     private static final int MAX_ANSWERING_PEERS = 4;
 
-    /** Ends that count on the word of one other process; the verdict needs a second witness. */
-    private static final int MAX_ENDS_PER_PEER = 2;
+    /** Crashes that count on the word of one other process; the verdict needs a second witness. */
+    private static final int MAX_CRASHES_PER_PEER = 2;
 
-    /** Ends closer to each other count once: a loss of power ends many endpoints for one reason. */
+    /** Crashes closer to each other count once: a power loss stops many endpoints at once. */
     private static final Duration JOINT_FAILURE_TIME = Duration.ofMillis(100);
 
-    /** An end counts after this time, in which answers of other processes may refute it. */
+    /** A crash counts after this time, in which answers of other processes may refute it. */
     private static final Duration CONFIRMATION_TIME = Duration.ofMillis(500);
 
     private final PartKey mPart;
-    private final List<EndpointEnd> mEnds = new ArrayList<>(4);
+    private final List<EndpointCrash> mCrashes = new ArrayList<>(4);
     private final Map<String, Long> mPeerAnswers = new HashMap<>(4);
     private OptionalLong mOwnAnswer = OptionalLong.empty();
     private Optional<QuarantinePeriod> mQuarantine = Optional.empty();
@@ -51,8 +51,8 @@
         return mPart;
     }
 
-    List<EndpointEnd> ends() {
-        return mEnds;
+    List<EndpointCrash> crashes() {
+        return mCrashes;
     }
 
     /** Returns the deepest place that the part has had in a prompt. */
@@ -60,7 +60,7 @@
         return mDepth;
     }
 
-    /** Returns whether a call without the part was answered that began after the first end. */
+    /** Returns whether a call without the part was answered that began after the first crash. */
     boolean wasAnsweredWithoutPart() {
         return mWasAnsweredWithoutPart;
     }
@@ -78,26 +78,26 @@
         mQuarantine = quarantine;
     }
 
-    /** Adds an end unless a later answer refutes it, and returns whether it is news. */
-    boolean addEnd(PartReport report, boolean isOwn, long nowNanos) {
+    /** Adds a crash unless a later answer refutes it, and returns whether it is news. */
+    boolean addCrash(PartReport report, boolean isOwn, long nowNanos) {
         mDepth = Math.max(mDepth, report.depth());
-        for (EndpointEnd known : mEnds) {
+        for (EndpointCrash known : mCrashes) {
             if (known.isSameAs(report)) {
                 return known.addReporter(report.reporter(), isOwn);
             }
         }
-        EndpointEnd end = EndpointEnd.of(report);
-        end.addReporter(report.reporter(), isOwn);
-        if (isRefuted(end)) {
+        EndpointCrash crash = EndpointCrash.of(report);
+        crash.addReporter(report.reporter(), isOwn);
+        if (isRefuted(crash)) {
             return false;
         }
-        mEnds.add(end);
-        mEnds.sort(Comparator.comparingLong(EndpointEnd::atNanos));
-        if (mEnds.size() > MAX_ENDS) {
-            mEnds.remove(0);
+        mCrashes.add(crash);
+        mCrashes.sort(Comparator.comparingLong(EndpointCrash::atNanos));
+        if (mCrashes.size() > MAX_CRASHES) {
+            mCrashes.remove(0);
         }
         mChangedAtNanos = nowNanos;
-        return mEnds.contains(end);
+        return mCrashes.contains(crash);
     }
 
     /** Adds an answer and drops what it refutes; returns whether it is later than the known one. */
@@ -115,30 +115,30 @@
             }
         }
         if (isNews) {
-            mEnds.removeIf(this::isRefuted);
-            mWasAnsweredWithoutPart &= !mEnds.isEmpty();
+            mCrashes.removeIf(this::isRefuted);
+            mWasAnsweredWithoutPart &= !mCrashes.isEmpty();
         }
         return isNews;
     }
 
-    /** Removes an end that this process recorded although the endpoint lives. */
-    void removeOwnEnd(PartReport report) {
-        mEnds.removeIf(end -> end.isOwn() && end.isSameAs(report));
+    /** Removes a crash that this process recorded although the endpoint lives. */
+    void removeOwnCrash(PartReport report) {
+        mCrashes.removeIf(crash -> crash.isOwn() && crash.isSameAs(report));
     }
 
     void answeredWithoutPart(long beganAtNanos) {
-        if (!mEnds.isEmpty() && beganAtNanos - mEnds.get(0).atNanos() > 0) {
+        if (!mCrashes.isEmpty() && beganAtNanos - mCrashes.get(0).atNanos() > 0) {
             mWasAnsweredWithoutPart = true;
         }
     }
 
-    private boolean isRefuted(EndpointEnd end) {
-        if (mOwnAnswer.isPresent() && mOwnAnswer.getAsLong() - end.atNanos() >= 0) {
+    private boolean isRefuted(EndpointCrash crash) {
+        if (mOwnAnswer.isPresent() && mOwnAnswer.getAsLong() - crash.atNanos() >= 0) {
             return true;
         }
         long refutingPeers =
-                mPeerAnswers.values().stream().filter(at -> at - end.atNanos() >= 0).count();
-        return refutingPeers >= (end.isOwn() ? 2 : 1);
+                mPeerAnswers.values().stream().filter(at -> at - crash.atNanos() >= 0).count();
+        return refutingPeers >= (crash.isOwn() ? 2 : 1);
     }
 
     /** Returns whether any process has answered the part within the given time. */
@@ -148,44 +148,44 @@
                 || mPeerAnswers.values().stream().anyMatch(at -> at - since >= 0);
     }
 
-    /** Returns the names of the endpoints that ended. */
-    Set<String> endedEndpoints() {
-        return mEnds.stream().map(EndpointEnd::endpoint).collect(Collectors.toSet());
+    /** Returns the names of the endpoints that crashed. */
+    Set<String> crashedEndpoints() {
+        return mCrashes.stream().map(EndpointCrash::endpoint).collect(Collectors.toSet());
     }
 
     /**
-     * Returns the ends that count: those that are confirmed, no part of a joint failure, seen by
+     * Returns the crashes that count: those that are confirmed, no part of a joint failure, seen by
      * this process or by enough others, and not explained by another part.
      *
-     * @param explained endpoints whose end another part accounts for
+     * @param explained endpoints whose crash another part accounts for
      */
-    List<EndpointEnd> countedEnds(Set<String> explained, long nowNanos) {
-        List<EndpointEnd> counted = new ArrayList<>();
+    List<EndpointCrash> countedCrashes(Set<String> explained, long nowNanos) {
+        List<EndpointCrash> counted = new ArrayList<>();
         Map<String, Integer> byPeer = new HashMap<>();
-        for (EndpointEnd end : mEnds) {
-            boolean isConfirmed = nowNanos - end.atNanos() >= CONFIRMATION_TIME.toNanos();
+        for (EndpointCrash crash : mCrashes) {
+            boolean isConfirmed = nowNanos - crash.atNanos() >= CONFIRMATION_TIME.toNanos();
             if (isConfirmed
-                    && !explained.contains(end.endpoint())
-                    && !isJointFailure(end, counted)
-                    && isWitnessed(end, byPeer)) {
-                counted.add(end);
+                    && !explained.contains(crash.endpoint())
+                    && !isJointFailure(crash, counted)
+                    && isWitnessed(crash, byPeer)) {
+                counted.add(crash);
             }
         }
         return counted;
     }
 
-    private static boolean isJointFailure(EndpointEnd end, List<EndpointEnd> counted) {
+    private static boolean isJointFailure(EndpointCrash crash, List<EndpointCrash> counted) {
         return !counted.isEmpty()
-                && end.atNanos() - counted.get(counted.size() - 1).atNanos()
+                && crash.atNanos() - counted.get(counted.size() - 1).atNanos()
                         < JOINT_FAILURE_TIME.toNanos();
     }
 
-    private static boolean isWitnessed(EndpointEnd end, Map<String, Integer> byPeer) {
-        if (end.isOwn()) {
+    private static boolean isWitnessed(EndpointCrash crash, Map<String, Integer> byPeer) {
+        if (crash.isOwn()) {
             return true;
         }
-        for (String reporter : end.reporters()) {
-            if (byPeer.getOrDefault(reporter, 0) < MAX_ENDS_PER_PEER) {
+        for (String reporter : crash.reporters()) {
+            if (byPeer.getOrDefault(reporter, 0) < MAX_CRASHES_PER_PEER) {
                 byPeer.merge(reporter, 1, Integer::sum);
                 return true;
             }
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/PartQuarantine.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/PartQuarantine.java
@@ -14,12 +14,12 @@
 import org.sesamedeck.routing.quarantine.PartReport.Kind;
 
 /**
- * Keeps prompt parts that end endpoints away from them. Each process records which parts were in
- * unanswered calls at endpoints that ended, exchanges that with the others, and decides for itself
- * by {@link ResponsibilityPolicy}; all that know the same decide the same. Requests with a
+ * Keeps prompt parts that crash endpoints away from them. Each process records which parts were in
+ * unanswered calls at endpoints that crashed, exchanges that with the others, and decides for
+ * itself by {@link ResponsibilityPolicy}; all that know the same decide the same. Requests with a
  * quarantined part are refused until a test, one request, is answered (see {@link RetestSchedule}).
- * Nothing is stored: evidence that is lost with all processes costs a few ends more. Without input
- * and output; thread-safe.
+ * Nothing is stored: evidence that is lost with all processes costs a few crashes more. Without
+ * input and output; thread-safe.
  */
 public final class PartQuarantine {
     /** Parts with evidence; the one without news for longest is dropped for another. */
@@ -43,8 +43,10 @@
     /** A test without an outcome after this time is followed by another one. */
     private static final Duration TEST_TIMEOUT = Duration.ofSeconds(10);
 
-    /** A part that ended so many endpoints unanswered is not sent a second time for one request. */
-    private static final int MAX_ENDS_FOR_REPEAT = 1;
+    /**
+     * A part that crashed so many endpoints unanswered is not sent a second time for one request.
+     */
+    private static final int MAX_CRASHES_FOR_REPEAT = 1;
 
     private final Clock mClock;
     private final String mSelf;
@@ -52,7 +54,7 @@
     private final Map<PartKey, PartEvidence> mEvidence = new HashMap<>();
     private final Map<PartKey, Long> mTestedAt = new HashMap<>();
     private final Map<PartKey, Long> mAnswerReportedAt = new HashMap<>();
-    private final UnconfirmedEnds mUnconfirmed = new UnconfirmedEnds();
+    private final UnconfirmedCrashes mUnconfirmed = new UnconfirmedCrashes();
     private final AnswerHistory mHistory = new AnswerHistory();
     private final ReportOutbox mOutbox = new ReportOutbox();
     private List<String> mProcesses = List.of();
@@ -83,7 +85,7 @@
     }
 
     /**
-     * Records that an endpoint ended before it began to answer a call.
+     * Records that an endpoint crashed before it began to answer a call.
      *
      * @param parts parts of the prompt that other requests may share, in order
      */
@@ -92,7 +94,7 @@
         for (int depth = 0; depth < parts.size(); depth++) {
             PartReport report =
                     new PartReport(parts.get(depth), Kind.INTERRUPTED, depth, endpoint, mSelf, now);
-            if (addEnd(report, true)) {
+            if (addCrash(report, true)) {
                 mUnconfirmed.add(report);
                 mHasUnconfirmed = true;
             }
@@ -130,7 +132,7 @@
     }
 
     /**
-     * Records bytes of a response. If the call was open when its endpoint seemed to end, the
+     * Records bytes of a response. If the call was open when its endpoint seemed to crash, the
      * endpoint lives, and only connections were lost.
      *
      * @param sentAtNanos when the call was sent, in nanoseconds of monotonic time
@@ -146,7 +148,7 @@
                 mUnconfirmed.takeRefuted(endpoint, sentAtNanos, mClock.nanoTime())) {
             PartEvidence evidence = mEvidence.get(refuted.part());
             if (evidence != null) {
-                evidence.removeOwnEnd(refuted);
+                evidence.removeOwnCrash(refuted);
             }
         }
         mHasUnconfirmed = !mUnconfirmed.isEmpty();
@@ -159,7 +161,7 @@
             PartEvidence evidence = mEvidence.get(part);
             boolean isSuspect =
                     evidence != null
-                            && evidence.ends().size() > MAX_ENDS_FOR_REPEAT
+                            && evidence.crashes().size() > MAX_CRASHES_FOR_REPEAT
                             && !evidence.isAnsweredWithin(ResponsibilityPolicy.ANSWER_MEMORY, now);
             if (isSuspect || evidence != null && evidence.quarantine().isPresent()) {
                 return false;
@@ -241,15 +243,15 @@
                 continue;
             }
             if (report.kind() == Kind.INTERRUPTED) {
-                receiveEnd(report);
+                receiveCrash(report);
             } else {
                 receiveAnswer(report);
             }
         }
     }
 
-    private void receiveEnd(PartReport report) {
-        if (addEnd(report, false) && isWorthReporting(report.part())) {
+    private void receiveCrash(PartReport report) {
+        if (addCrash(report, false) && isWorthReporting(report.part())) {
             mOutbox.add(report);
         }
         mHistory.answeredAt(report.part()).ifPresent(at -> reportAnswer(report.part(), at));
@@ -262,7 +264,7 @@
             return;
         }
         boolean isDecisive =
-                !evidence.ends().isEmpty()
+                !evidence.crashes().isEmpty()
                         || !evidence.isAnsweredWithin(RECENT_ANSWER, mClock.nanoTime());
         if (evidence.addAnswer(report, false) && isDecisive) {
             mOutbox.add(report);
@@ -270,22 +272,22 @@
         releaseIfRefuted(evidence);
     }
 
-    private boolean addEnd(PartReport report, boolean isOwn) {
+    private boolean addCrash(PartReport report, boolean isOwn) {
         long now = mClock.nanoTime();
         PartEvidence evidence = mEvidence.get(report.part());
         if (evidence == null) {
             evidence = newEvidence(report.part(), now);
         }
-        boolean isNews = evidence.addEnd(report, isOwn, now);
+        boolean isNews = evidence.addCrash(report, isOwn, now);
         if (isNews && evidence.quarantine().isPresent()) {
             extend(evidence, report.atNanos());
         }
         return isNews;
     }
 
-    private void extend(PartEvidence evidence, long endNanos) {
+    private void extend(PartEvidence evidence, long crashNanos) {
         QuarantinePeriod known = evidence.quarantine().orElseThrow();
-        QuarantinePeriod next = known.afterEnd(endNanos);
+        QuarantinePeriod next = known.afterCrash(crashNanos);
         evidence.setQuarantine(Optional.of(next));
         if (!next.hold().equals(known.hold())) {
             mListener.renewed(describe(evidence));
@@ -298,7 +300,7 @@
                     .min(
                             Comparator.<PartEvidence, Boolean>comparing(
                                             evidence -> evidence.quarantine().isPresent())
-                                    .thenComparingInt(evidence -> evidence.ends().size())
+                                    .thenComparingInt(evidence -> evidence.crashes().size())
                                     .thenComparingLong(PartEvidence::changedAtNanos))
                     .ifPresent(this::forget);
         }
@@ -336,11 +338,11 @@
     private boolean isWorthReporting(PartKey part) {
         PartEvidence evidence = mEvidence.get(part);
         return evidence != null
-                && !evidence.ends().isEmpty()
+                && !evidence.crashes().isEmpty()
                 && !evidence.isAnsweredWithin(RECENT_ANSWER, mClock.nanoTime());
     }
 
-    /** Queues the reports of own ends that no response has refuted. */
+    /** Queues the reports of own crashes that no response has refuted. */
     private void reportConfirmed(long nowNanos) {
         mUnconfirmed.takeConfirmed(nowNanos).stream()
                 .filter(report -> isWorthReporting(report.part()))
@@ -353,27 +355,27 @@
         for (PartEvidence evidence : mEvidence.values()) {
             boolean isSuspect =
                     evidence.quarantine().isPresent()
-                            || evidence.ends().size() > MAX_ENDS_FOR_REPEAT
+                            || evidence.crashes().size() > MAX_CRASHES_FOR_REPEAT
                                     && isWorthReporting(evidence.part());
             if (!isSuspect) {
                 continue;
             }
-            for (EndpointEnd end : evidence.ends()) {
-                end.reporters().stream()
+            for (EndpointCrash crash : evidence.crashes()) {
+                crash.reporters().stream()
                         .findFirst()
-                        .ifPresent(reporter -> mOutbox.repeat(report(evidence, end, reporter)));
+                        .ifPresent(reporter -> mOutbox.repeat(report(evidence, crash, reporter)));
             }
         }
     }
 
-    private static PartReport report(PartEvidence evidence, EndpointEnd end, String reporter) {
+    private static PartReport report(PartEvidence evidence, EndpointCrash crash, String reporter) {
         return new PartReport(
                 evidence.part(),
                 Kind.INTERRUPTED,
                 evidence.depth(),
-                end.endpoint(),
+                crash.endpoint(),
                 reporter,
-                end.atNanos());
+                crash.atNanos());
     }
 
     private void evaluateIfDue() {
@@ -403,19 +405,19 @@
     }
 
     private void quarantine(PartEvidence evidence, long nowNanos) {
-        long lastEnd = evidence.ends().get(evidence.ends().size() - 1).atNanos();
-        evidence.setQuarantine(Optional.of(QuarantinePeriod.start(nowNanos, lastEnd)));
+        long lastCrash = evidence.crashes().get(evidence.crashes().size() - 1).atNanos();
+        evidence.setQuarantine(Optional.of(QuarantinePeriod.start(nowNanos, lastCrash)));
         mListener.quarantined(describe(evidence));
         for (PartEvidence other : mEvidence.values()) {
             if (other.quarantine().isPresent()
                     && ResponsibilityPolicy.isExplainedBy(other, evidence)) {
-                release(other, "part " + evidence.part().partName() + " accounts for its ends");
+                release(other, "part " + evidence.part().partName() + " accounts for its crashes");
             }
         }
     }
 
     private void releaseIfRefuted(PartEvidence evidence) {
-        if (evidence.quarantine().isPresent() && evidence.ends().isEmpty()) {
+        if (evidence.quarantine().isPresent() && evidence.crashes().isEmpty()) {
             release(evidence, "it was answered");
         }
     }
@@ -433,9 +435,9 @@
         Duration retryAfter = Duration.ofNanos(Math.max(0, remaining));
         Set<String> reporters = new LinkedHashSet<>();
         List<String> endpoints = new ArrayList<>();
-        for (EndpointEnd end : evidence.ends()) {
-            endpoints.add(end.endpoint());
-            reporters.addAll(end.reporters());
+        for (EndpointCrash crash : evidence.crashes()) {
+            endpoints.add(crash.endpoint());
+            reporters.addAll(crash.reporters());
         }
         Duration atLeast =
                 retryAfter.compareTo(RetestSchedule.STEP) < 0 ? RetestSchedule.STEP : retryAfter;
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/PartReport.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/PartReport.java
@@ -6,7 +6,7 @@
  * @param part the prompt part
  * @param kind what happened
  * @param depth place of the part in the prompt, from 0; 0 in reports of answers
- * @param endpoint endpoint that ended; empty in reports of answers
+ * @param endpoint endpoint that crashed; empty in reports of answers
  * @param reporter name of the process that saw it
  * @param atNanos when it happened, in nanoseconds of the monotonic time of this process
  */
@@ -14,7 +14,7 @@
         PartKey part, Kind kind, int depth, String endpoint, String reporter, long atNanos) {
     /** What happened to a call. */
     public enum Kind {
-        /** Its endpoint ended before it began to answer. */
+        /** Its endpoint crashed before it began to answer. */
         INTERRUPTED,
         /** Its endpoint began to answer, and went on. */
         ANSWERED
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/QuarantineListener.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/QuarantineListener.java
@@ -5,10 +5,10 @@
     /** Requests with the part are refused from now on. */
     void quarantined(QuarantinedPart part);
 
-    /** Another endpoint has ended under the part, so it stays quarantined for longer. */
+    /** Another endpoint has crashed under the part, so it stays quarantined for longer. */
     void renewed(QuarantinedPart part);
 
-    /** One request with the part is sent to test whether it still ends endpoints. */
+    /** One request with the part is sent to test whether it still crashes endpoints. */
     void tested(QuarantinedPart part);
 
     /**
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/QuarantinePeriod.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/QuarantinePeriod.java
@@ -3,12 +3,12 @@
 import java.time.Duration;
 
 /**
- * Time for which a part stays quarantined before it is tested. An end after that doubles the time,
+ * Time for which a part stays quarantined before it is tested. A crash after that doubles the time,
  * so that a part that stays harmful costs ever fewer endpoints.
  *
  * @param sinceNanos when the part was quarantined, in nanoseconds of monotonic time
  * @param untilNanos when tests begin, in nanoseconds of monotonic time
- * @param hold time from the last end to the first test
+ * @param hold time from the last crash to the first test
  */
 record QuarantinePeriod(long sinceNanos, long untilNanos, Duration hold) {
     /** Several times the time in which an engine starts again and fills its caches. */
@@ -17,21 +17,22 @@
     /** Longest time that a part which has become sound waits for a test. */
     static final Duration MAX_HOLD = Duration.ofMinutes(10);
 
-    /** Returns the first period of a part, which starts with its latest end. */
-    static QuarantinePeriod start(long nowNanos, long lastEndNanos) {
-        return new QuarantinePeriod(nowNanos, lastEndNanos + INITIAL_HOLD.toNanos(), INITIAL_HOLD);
+    /** Returns the first period of a part, which starts with its latest crash. */
+    static QuarantinePeriod start(long nowNanos, long lastCrashNanos) {
+        return new QuarantinePeriod(
+                nowNanos, lastCrashNanos + INITIAL_HOLD.toNanos(), INITIAL_HOLD);
     }
 
-    /** Returns the period after another end, which doubles the hold when it came from a test. */
-    QuarantinePeriod afterEnd(long endNanos) {
-        if (endNanos - untilNanos < 0) {
-            long until = endNanos + hold.toNanos();
+    /** Returns the period after another crash, which doubles the hold when it came from a test. */
+    QuarantinePeriod afterCrash(long crashNanos) {
+        if (crashNanos - untilNanos < 0) {
+            long until = crashNanos + hold.toNanos();
             return new QuarantinePeriod(
                     sinceNanos, until - untilNanos > 0 ? until : untilNanos, hold);
         }
         Duration doubled = hold.multipliedBy(2);
         Duration next = doubled.compareTo(MAX_HOLD) > 0 ? MAX_HOLD : doubled;
-        return new QuarantinePeriod(sinceNanos, endNanos + next.toNanos(), next);
+        return new QuarantinePeriod(sinceNanos, crashNanos + next.toNanos(), next);
     }
 
     boolean isTestDue(long nowNanos) {
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/QuarantinedPart.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/QuarantinedPart.java
@@ -8,8 +8,8 @@
  * A prompt part whose requests are refused.
  *
  * @param part the part
- * @param endpoints endpoints that ended under unanswered calls with it
- * @param reporters processes that saw these ends
+ * @param endpoints endpoints that crashed under unanswered calls with it
+ * @param reporters processes that saw these crashes
  * @param retryAfter time until the part is tested next
  */
 public record QuarantinedPart(
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/ReportOutbox.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/ReportOutbox.java
@@ -8,10 +8,10 @@
 import org.sesamedeck.routing.quarantine.PartReport.Kind;
 
 /**
- * Reports that wait to be sent. Datagrams may be lost, so each report is sent several times. Ends
- * go before answers, since every process needs the ends to refuse a harmful part, and answers to
- * the many sound parts would keep them waiting. The number of reports in a message and of those
- * that wait is bounded; the oldest of a kind are dropped.
+ * Reports that wait to be sent. Datagrams may be lost, so each report is sent several times.
+ * Crashes go before answers, since every process needs the crashes to refuse a harmful part, and
+ * answers to the many sound parts would keep them waiting. The number of reports in a message and
+ * of those that wait is bounded; the oldest of a kind are dropped.
  */
 final class ReportOutbox {
     /** Makes the loss of all copies unlikely. */
@@ -22,7 +22,7 @@
 
     private static final int MAX_WAITING_OF_A_KIND = 128;
 
-    private final Map<PartReport, Integer> mEnds = new LinkedHashMap<>();
+    private final Map<PartReport, Integer> mCrashes = new LinkedHashMap<>();
     private final Map<PartReport, Integer> mAnswers = new LinkedHashMap<>();
 
     /** Queues a report for the usual number of copies. */
@@ -38,7 +38,7 @@
     }
 
     private Map<PartReport, Integer> waitingOfKind(PartReport report) {
-        return report.kind() == Kind.INTERRUPTED ? mEnds : mAnswers;
+        return report.kind() == Kind.INTERRUPTED ? mCrashes : mAnswers;
     }
 
     private void put(PartReport report, int copies) {
@@ -52,7 +52,7 @@
     /** Returns the reports of the next message. */
     List<PartReport> take() {
         List<PartReport> taken = new ArrayList<>();
-        take(mEnds, taken);
+        take(mCrashes, taken);
         take(mAnswers, taken);
         return taken;
     }
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/RetestSchedule.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/RetestSchedule.java
@@ -6,7 +6,7 @@
 
 /**
  * Decides whether this process may test a quarantined part with one request. Only one process may
- * at first, since each test may end an endpoint. Its callers may not send the part, so the number
+ * at first, since each test may crash an endpoint. Its callers may not send the part, so the number
  * of processes that may test doubles every few seconds until one of them has tested it. No messages
  * are needed: all processes rank themselves by the same hash.
  */
--- a/routing/src/main/java/org/sesamedeck/routing/quarantine/UnconfirmedEnds.java
+++ b/routing/src/main/java/org/sesamedeck/routing/quarantine/UnconfirmedCrashes.java
@@ -6,10 +6,10 @@
 import java.util.function.Predicate;
 
 /**
- * Ends that this process has seen and not reported yet. A lost connection looks like the end of its
- * endpoint until another call that was open at that time gets a response.
+ * Crashes that this process has seen and not reported yet. A lost connection looks like the crash
+ * of its endpoint until another call that was open at that time gets a response.
  */
-final class UnconfirmedEnds {
+final class UnconfirmedCrashes {
     /** Responses that arrive later than this after a loss were sent after it. */
     private static final Duration TRANSIT_MARGIN = Duration.ofMillis(20);
 
@@ -26,7 +26,7 @@
         mReports.add(report);
     }
 
-    /** Removes and returns the ends that a response now to a call of the given age refutes. */
+    /** Removes and returns the crashes that a response now to a call of the given age refutes. */
     List<PartReport> takeRefuted(String endpoint, long callSentAtNanos, long nowNanos) {
         return take(
                 report ->
@@ -35,7 +35,7 @@
                                 && nowNanos - report.atNanos() > TRANSIT_MARGIN.toNanos());
     }
 
-    /** Removes and returns the ends that no response has refuted in time. */
+    /** Removes and returns the crashes that no response has refuted in time. */
     List<PartReport> takeConfirmed(long nowNanos) {
         return take(report -> nowNanos - report.atNanos() >= REFUTATION_TIME.toNanos());
     }
--- a/routing/src/test/java/org/sesamedeck/routing/quarantine/PartQuarantineTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/quarantine/PartQuarantineTest.java
@@ -26,7 +26,10 @@
     private static final int MAX_SENT_LATE = 3;
     private static final Duration CALM = Duration.ofMinutes(3);
 
-    /** Guards against engines that end one after the other, however many processes see the ends. */
+    /**
+     * Guards against engines that crash one after the other, however many processes see the
+     * crashes.
+     */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 8, 17, 95})
     void harmfulPartStopsReachingEngines(int processes) {
@@ -37,7 +40,7 @@
         assertThat(fleet.quarantinedSound(), is(empty()));
     }
 
-    /** Guards against a bound that holds only where few engines end. */
+    /** Guards against a bound that holds only where few engines crash. */
     @Test
     void largeFleetStopsAFrequentPart() {
         SimulatedFleet fleet = new SimulatedFleet(490, 60, 0.02, 3);
@@ -66,7 +69,7 @@
     }
 
     /**
-     * Guards against sound parts that stay refused after ends, power cuts, lost messages, pauses
+     * Guards against sound parts that stay refused after crashes, power cuts, lost messages, pauses
      * and restarts, and against a harmful part that stays refused after it has become sound.
      */
     @Property(tries = 40, seed = "22")
@@ -91,8 +94,8 @@
         List<String> names = fleet.names();
         String name = names.get(random.nextInt(names.size()));
         switch (random.nextInt(12)) {
-            case 0 -> fleet.endEngines(3);
-            case 1 -> fleet.endEngines(20);
+            case 0 -> fleet.crashEngines(3);
+            case 1 -> fleet.crashEngines(20);
             case 2 -> fleet.restartProcess(name);
             case 3 -> fleet.pause(name, names.size() > 1);
             case 4 -> names.forEach(any -> fleet.pause(any, false));
@@ -115,13 +118,13 @@
         assertThat(fleet.quarantinedSound(), is(empty()));
     }
 
-    /** Guards against a part of a small route that ends an engine only now and then. */
+    /** Guards against a part of a small route that crashes an engine only now and then. */
     @Test
     void rarePartIsQuarantined() {
         SimulatedFleet fleet = new SimulatedFleet(8, 8, 0.02, 6);
         fleet.setHarmful(HARMFUL, true);
         fleet.run(Duration.ofMinutes(4), 5, 0.008, HARMFUL);
-        assertThat(fleet.ends(HARMFUL), lessThanOrEqualTo(5 + MAX_SENT_LATE));
+        assertThat(fleet.crashes(HARMFUL), lessThanOrEqualTo(5 + MAX_SENT_LATE));
         assertThat(fleet.quarantinedSound(), is(empty()));
     }
 
@@ -132,7 +135,7 @@
     void endsWithoutAResponsiblePartQuarantineNothing() {
         SimulatedFleet fleet = new SimulatedFleet(8, 8, 0.02, 7);
         for (int cut = 0; cut < 20; cut++) {
-            fleet.endEngines(cut % 3 == 0 ? 20 : 3);
+            fleet.crashEngines(cut % 3 == 0 ? 20 : 3);
             fleet.run(Duration.ofMillis(700), 5, 0, HARMFUL);
         }
         assertThat(fleet.quarantinedSound(), is(empty()));
@@ -171,20 +174,20 @@
     void harmfulPartIsTestedEverMoreRarely() {
         SimulatedFleet fleet = new SimulatedFleet(8, 8, 0.02, 10);
         fleet.setHarmful(HARMFUL, true);
-        List<Integer> ends = new ArrayList<>();
+        List<Integer> crashes = new ArrayList<>();
         for (int minute = 0; minute < 20; minute++) {
             fleet.run(Duration.ofMinutes(1), 5, 0.15, HARMFUL);
-            ends.add(fleet.ends(HARMFUL));
+            crashes.add(fleet.crashes(HARMFUL));
         }
-        int firstTenMinutes = ends.get(9) - ends.get(0);
-        int lastTenMinutes = ends.get(19) - ends.get(9);
+        int firstTenMinutes = crashes.get(9) - crashes.get(0);
+        int lastTenMinutes = crashes.get(19) - crashes.get(9);
         assertThat(firstTenMinutes, lessThanOrEqualTo(10));
         assertThat(lastTenMinutes, lessThanOrEqualTo(4));
     }
 
     /**
      * Guards against a harmful part that stays in use because a sound one, answered a short time
-     * ago, was in more calls at the endpoints that ended.
+     * ago, was in more calls at the endpoints that crashed.
      */
     @Test
     void partThatIsAnsweredDoesNotHideAHarmfulOne() {
@@ -193,11 +196,11 @@
                 PartQuarantine.create(clock, "process", QuarantineListener.ignoring());
         PartKey common = SimulatedFleet.route(0);
         quarantine.answered(List.of(common), clock.nanoTime());
-        for (int end = 0; end < 4; end++) {
+        for (int crash = 0; crash < 4; crash++) {
             clock.advance(Duration.ofMillis(200));
-            quarantine.interrupted(List.of(common), "engine-" + end);
-            if (end > 0) {
-                quarantine.interrupted(List.of(common, HARMFUL), "engine-" + end);
+            quarantine.interrupted(List.of(common), "engine-" + crash);
+            if (crash > 0) {
+                quarantine.interrupted(List.of(common, HARMFUL), "engine-" + crash);
             }
         }
         quarantine.answered(List.of(SimulatedFleet.route(1)), clock.nanoTime());
@@ -247,13 +250,13 @@
                 quarantine.takeReports();
             }
         }
-        long ends = sent.stream().filter(r -> r.part().equals(HARMFUL)).distinct().count();
-        assertThat(ends, is(10L));
+        long crashes = sent.stream().filter(r -> r.part().equals(HARMFUL)).distinct().count();
+        assertThat(crashes, is(10L));
     }
 
     /** Guards against lost connections of an endpoint that lives. */
     @Test
-    void responseToAnOlderCallRefutesTheEnd() {
+    void responseToAnOlderCallRefutesTheCrash() {
         SimulatedFleet fleet = new SimulatedFleet(1, 8, 0, 11);
         PartQuarantine quarantine = fleet.quarantine("process-000");
         PartKey rare = SimulatedFleet.detail(5_555);
--- a/routing/src/test/java/org/sesamedeck/routing/quarantine/SimulatedFleet.java
+++ b/routing/src/test/java/org/sesamedeck/routing/quarantine/SimulatedFleet.java
@@ -14,8 +14,8 @@
 
 /**
  * Processes that send requests with shared prompt parts to engines, on a simulated clock and
- * network. An engine that begins to answer a request with a harmful part ends and comes back empty,
- * under another name, after some seconds.
+ * network. An engine that begins to answer a request with a harmful part crashes and comes back
+ * empty, under another name, after some seconds.
  */
 final class SimulatedFleet {
     static final Duration TICK = Duration.ofMillis(100);
@@ -30,8 +30,8 @@
     private final List<Engine> mEngines = new ArrayList<>();
     private final Set<PartKey> mHarmful = new HashSet<>();
     private final Set<PartKey> mQuarantinedSound = new HashSet<>();
-    private final Map<PartKey, Integer> mEnds = new HashMap<>();
-    private final Map<PartKey, Long> mFifthEndAt = new HashMap<>();
+    private final Map<PartKey, Integer> mCrashes = new HashMap<>();
+    private final Map<PartKey, Long> mFifthCrashAt = new HashMap<>();
     private final Map<PartKey, Integer> mSentLate = new HashMap<>();
     private final double mLossRatio;
     private int mEngineNames;
@@ -126,10 +126,10 @@
         }
     }
 
-    /** Ends engines at the same time, as a loss of power does. */
-    void endEngines(int count) {
+    /** Crashes engines at the same time, as a loss of power does. */
+    void crashEngines(int count) {
         for (int i = 0; i < count; i++) {
-            end(mEngines.get(mRandom.nextInt(mEngines.size())));
+            crash(mEngines.get(mRandom.nextInt(mEngines.size())));
         }
     }
 
@@ -196,7 +196,7 @@
     }
 
     private void countLate(PartKey part) {
-        Long fifth = mFifthEndAt.get(part);
+        Long fifth = mFifthCrashAt.get(part);
         if (fifth != null && mClock.nanoTime() - fifth > Duration.ofSeconds(4).toNanos()) {
             mSentLate.merge(part, 1, Integer::sum);
         }
@@ -210,8 +210,8 @@
             }
             List<PartKey> harmful = call.parts.stream().filter(mHarmful::contains).toList();
             if (!harmful.isEmpty()) {
-                harmful.forEach(this::countEnd);
-                end(engine);
+                harmful.forEach(this::countCrash);
+                crash(engine);
                 return;
             }
             if (call.beginsAt + ANSWER.toNanos() <= now) {
@@ -221,13 +221,13 @@
         }
     }
 
-    private void countEnd(PartKey part) {
-        if (mEnds.merge(part, 1, Integer::sum) == 5) {
-            mFifthEndAt.put(part, mClock.nanoTime());
+    private void countCrash(PartKey part) {
+        if (mCrashes.merge(part, 1, Integer::sum) == 5) {
+            mFifthCrashAt.put(part, mClock.nanoTime());
         }
     }
 
-    private void end(Engine engine) {
+    private void crash(Engine engine) {
         String name = engine.mName;
         List<Call> calls = List.copyOf(engine.mCalls);
         engine.mCalls.clear();
@@ -291,12 +291,12 @@
                                         .forEach(mQuarantinedSound::add));
     }
 
-    /** Returns how many engines ended under the part. */
-    int ends(PartKey part) {
-        return mEnds.getOrDefault(part, 0);
+    /** Returns how many engines crashed under the part. */
+    int crashes(PartKey part) {
+        return mCrashes.getOrDefault(part, 0);
     }
 
-    /** Returns how many requests with the part were sent later than 4 s after its fifth end. */
+    /** Returns how many requests with the part were sent later than 4 s after its fifth crash. */
     int sentLate(PartKey part) {
         return mSentLate.getOrDefault(part, 0);
     }
