--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -3,6 +3,7 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.SocketException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -20,6 +22,9 @@
     static final int EXIT_BROKEN = 1;
     static final int EXIT_COULD_NOT_RUN = 2;
 
+    private static final int FIRST_PORT = 12_000;
+    private static final int LAST_PORT = 32_000;
+
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
 
     private final long mStartNanos = System.nanoTime();
@@ -97,7 +102,7 @@
             values.put("listen.front", "127.0.0.1:" + front);
             values.put("listen.ready", "127.0.0.1:" + ready);
             values.put("ip", "127.0.0.1");
-            values.put("internal_port_range.0", String.valueOf(freeDatagramPort()));
+            values.put("internal_port_range.0", String.valueOf(freePort()));
             values.put("platform.address", "127.0.0.1:" + storePort);
             values.put("bounds.stable_window_ms", "4000");
             values.put("bounds.config_apply_ms", "2500");
@@ -195,17 +200,19 @@
         return port;
     }
 
+    /** Returns a free port below those that the system gives to outgoing connections. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(Http.LOOPBACK, 0));
-            return socket.getLocalPort();
-        }
-    }
-
-    private static int freeDatagramPort() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, Http.LOOPBACK)) {
-            return socket.getLocalPort();
+        for (int attempt = 0; attempt < 1_000; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket();
+                    DatagramSocket datagrams = new DatagramSocket(port, Http.LOOPBACK)) {
+                socket.bind(new InetSocketAddress(Http.LOOPBACK, port));
+                return port;
+            } catch (SocketException taken) {
+                // Tries another one.
+            }
         }
+        throw new IOException("no free port");
     }
 
     /** Ends all processes that were started and deletes the temporary folder. */
