--- a/review/standin/ModelServer.java
+++ b/review/standin/ModelServer.java
@@ -10,6 +10,7 @@
 import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
 /** A model server that follows the pages: stages, handles, orders with fences, reports, streams. */
 final class ModelServer {
@@ -41,14 +42,18 @@
     volatile int tokenMillis = 15;
     volatile int events = 6;
 
-    /** Bytes without end, and without an event, that this server in trouble sends a second. */
-    volatile int endlessBytesPerSecond;
+    /** A part of prompts under which this server crashes silently; empty for none. */
+    volatile String deadlyPart = "";
+
+    /** Called when this server crashes, with the request that crashed it. */
+    volatile Consumer<String> onCrash = request -> {};
 
     /** When each request began to run here, by its identifier. */
     final Map<String, Long> runs = new ConcurrentHashMap<>();
 
     private String mStage;
     private boolean mIsBusy;
+    private volatile boolean mIsDark;
     private long mBusySinceMillis;
     private long mSequence;
     private long mHighestFence;
@@ -93,6 +98,7 @@
 
     private boolean handle(Http.Message request, OutputStream out, Socket socket)
             throws Exception {
+        awaitIfDark();
         String expected = request.header("Sesamedeck-Expect-Instance");
         if (!expected.isEmpty() && !expected.equals(id)) {
             return Http.respond(out, 421, new byte[0], "Sesamedeck-Instance-Id", id);
@@ -114,6 +120,13 @@
         return run(request, out);
     }
 
+    /** A host without power answers nothing, and nothing tells its peers. */
+    private void awaitIfDark() {
+        while (mIsDark) {
+            Lab.sleep(60_000);
+        }
+    }
+
     private synchronized String report() {
         boolean isBusyReported =
                 mIsBusy && mLab.millis() - mBusySinceMillis >= REPORT_LAG_MILLIS;
@@ -254,7 +267,7 @@
         if (request.header("Sesamedeck-Kv-Source").isEmpty()) {
             Lab.sleep(2L * prefillMillis);
         }
-        out.write(
+        byte[] head =
                 Http.head(
                         "HTTP/1.1 200 OK",
                         "Content-Type",
@@ -266,14 +279,18 @@
                         "Sesamedeck-Server-Stamp",
                         id + ".stamp",
                         "Sesamedeck-Weight-Versions",
-                        "1"));
+                        "1");
         runs.put(request.header("Sesamedeck-Request-Id"), mLab.millis());
-        while (endlessBytesPerSecond > 0) {
-            chunk(out, "x".repeat(endlessBytesPerSecond / 20));
-            Lab.sleep(50);
+        if (!deadlyPart.isEmpty()
+                && request.header("Sesamedeck-Prompt-Prefix").contains(deadlyPart)) {
+            mIsDark = true;
+            onCrash.accept(request.header("Sesamedeck-Request-Id"));
+            awaitIfDark();
         }
+        out.write(head);
         for (int event = 1; event <= events; event++) {
             Lab.sleep(tokenMillis);
+            awaitIfDark();
             chunk(out, "id: " + event + "\ndata: token" + event + "\n\n");
         }
         chunk(out, "");
