--- a/review/standin/SilentCrash.java
+++ b/review/standin/SilentCrash.java
@@ -17,6 +17,9 @@
     private static final int RUN_MILLIS = 34_000;
     private static final int ALLOWED = 3;
     private static final int INTERVAL_MILLIS = 800;
+
+    /** With it, one request in 28 has the deadly part, less than a share of 0.05. */
+    private static final int SOUND_INTERVAL_MILLIS = 30;
     private static final String[] ZONES = {"almaty-a", "astana-a", "shymkent-a"};
 
     private SilentCrash() {}
@@ -42,10 +45,7 @@
         }
         AtomicInteger served = new AtomicInteger();
         AtomicInteger others = new AtomicInteger();
-        for (int client = 0; client < 16; client++) {
-            Lab.Gateway gateway = gateways.get(client % gateways.size());
-            Lab.daemon(() -> load(lab, gateway, served, others));
-        }
+        Lab.daemon(() -> load(lab, gateways, served, others));
         Lab.sleep(STABLE_WINDOW_MILLIS + 1_000);
         lab.record(served + " sound requests served, " + others + " not, before");
         int soundLostBefore = others.get();
@@ -128,12 +128,17 @@
         }
     }
 
+    /** Sends as many sound requests a second as ever, whatever becomes of them. */
     private static void load(
-            Lab lab, Lab.Gateway gateway, AtomicInteger served, AtomicInteger others) {
-        while (true) {
-            String part = Long.toHexString((long) (Math.random() * 8));
-            (send(lab, gateway, "a" + part)[1].equals("200") ? served : others).incrementAndGet();
-            Lab.sleep(60);
+            Lab lab, List<Lab.Gateway> gateways, AtomicInteger served, AtomicInteger others) {
+        for (int i = 0; true; i++) {
+            Lab.Gateway gateway = gateways.get(i % gateways.size());
+            String part = "a" + Long.toHexString((long) (Math.random() * 8));
+            Lab.daemon(
+                    () ->
+                            (send(lab, gateway, part)[1].equals("200") ? served : others)
+                                    .incrementAndGet());
+            Lab.sleep(SOUND_INTERVAL_MILLIS);
         }
     }
 
