--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,7 +5,7 @@
 cd "$here/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -d review/target/classes ] || { echo "run review/build.sh first" >&2; exit 2; }
-timeout --signal=TERM 118 java -Xmx400m -cp 'review/target/classes:platform/target/lib/*' StoppedAnswer "$here"
+timeout --signal=TERM 118 java -Xmx400m -cp 'review/target/classes:platform/target/lib/*' CutWatches "$here"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
