Types that the parts for client accounts, duties and scaling share

Nothing acts on them yet: without accounts, duties and terms in the configuration all requests are served as before.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -15,6 +15,7 @@
 import org.sesamedeck.request.RequestHandler;
 import org.sesamedeck.request.RequestSettings;
 import org.sesamedeck.request.ServingConfiguration;
+import org.sesamedeck.request.UsageObserver;
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.EndpointRole;
@@ -105,7 +106,8 @@
                         mLog,
                         requestSettings(settings),
                         mRoleAdvisor,
-                        mQuarantine);
+                        mQuarantine,
+                        UsageObserver.NONE);
         HeaderCodec headerCodec = mPlatform.headerCodec();
         mEndpointClient = EndpointClient.create(mTrafficLoop, clock, headerCodec);
         mCallerServer =
--- a/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
@@ -27,6 +27,7 @@
 import org.sesamedeck.request.ServiceShare;
 import org.sesamedeck.request.ServingConfiguration;
 import org.sesamedeck.request.TrafficLimits;
+import org.sesamedeck.request.UsageObserver;
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.EndpointRole;
@@ -69,7 +70,8 @@
                         new RequestSettings(
                                 0.1, 10, false, Duration.ZERO, Duration.ofMillis(250), 4 << 20),
                         new NoOpPhaseObserver(),
-                        PartQuarantine.create(mClock, "node", QuarantineListener.ignoring()));
+                        PartQuarantine.create(mClock, "node", QuarantineListener.ignoring()),
+                        UsageObserver.NONE);
         requestHandler.configure(configuration());
         PlainHeaderCodec headerCodec = new PlainHeaderCodec();
         EndpointClient client = EndpointClient.create(mLoop, mClock, headerCodec);
--- a/gateway/src/test/java/org/sesamedeck/gateway/GracefulShutdownTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/GracefulShutdownTest.java
@@ -14,6 +14,7 @@
 import org.sesamedeck.request.PhaseObserver;
 import org.sesamedeck.request.RequestHandler;
 import org.sesamedeck.request.RequestSettings;
+import org.sesamedeck.request.UsageObserver;
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.RouterSettings;
 import org.sesamedeck.routing.quarantine.PartQuarantine;
@@ -46,7 +47,8 @@
                                 Duration tokenIntervalTarget) {}
                     },
                     PartQuarantine.create(
-                            mScheduler.clock(), "node", QuarantineListener.ignoring()));
+                            mScheduler.clock(), "node", QuarantineListener.ignoring()),
+                    UsageObserver.NONE);
     private boolean mHasFinished;
 
     @AfterEach
--- a/request/src/main/java/org/sesamedeck/request/CallOptions.java
+++ b/request/src/main/java/org/sesamedeck/request/CallOptions.java
@@ -14,6 +14,7 @@
  * @param priority priority of the request at an engine; 0 is the most urgent
  * @param processedPrompt location of the processed prompt, if another endpoint processed it
  * @param cacheSource another engine from which the KV cache of the prompt prefix can be fetched
+ * @param account name of the client account that the request belongs to, if it has one
  * @param lastEvent last event that the caller has received; the response continues after it
  */
 public record CallOptions(
@@ -22,4 +23,23 @@
         int priority,
         Optional<ProcessedPrompt> processedPrompt,
         Optional<EndpointDescription> cacheSource,
-        OptionalLong lastEvent) {}
+        Optional<String> account,
+        OptionalLong lastEvent) {
+    /** Returns options of a request without a client account. */
+    public CallOptions(
+            RequestPhase phase,
+            Duration remainingTime,
+            int priority,
+            Optional<ProcessedPrompt> processedPrompt,
+            Optional<EndpointDescription> cacheSource,
+            OptionalLong lastEvent) {
+        this(
+                phase,
+                remainingTime,
+                priority,
+                processedPrompt,
+                cacheSource,
+                Optional.empty(),
+                lastEvent);
+    }
+}
--- a/request/src/main/java/org/sesamedeck/request/CallerRequest.java
+++ b/request/src/main/java/org/sesamedeck/request/CallerRequest.java
@@ -11,6 +11,7 @@
  * @param identifier unique for each attempt of a caller
  * @param host host name that the caller addressed
  * @param path path without query
+ * @param accountKey key of the client account, if the caller sent one
  * @param clientTimeout client timeout, if the caller stated one
  * @param model requested model; empty for plain services
  * @param promptTokens prompt length in tokens; 0 for plain services
@@ -22,9 +23,34 @@
         String identifier,
         String host,
         String path,
+        Optional<String> accountKey,
         Optional<Duration> clientTimeout,
         Optional<String> model,
         int promptTokens,
         int outputTokens,
         List<PromptPart> promptParts,
-        OptionalLong lastEvent) {}
+        OptionalLong lastEvent) {
+    /** Describes a request without a key. */
+    public CallerRequest(
+            String identifier,
+            String host,
+            String path,
+            Optional<Duration> clientTimeout,
+            Optional<String> model,
+            int promptTokens,
+            int outputTokens,
+            List<PromptPart> promptParts,
+            OptionalLong lastEvent) {
+        this(
+                identifier,
+                host,
+                path,
+                Optional.empty(),
+                clientTimeout,
+                model,
+                promptTokens,
+                outputTokens,
+                promptParts,
+                lastEvent);
+    }
+}
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -33,6 +33,7 @@
     private final RequestSettings mSettings;
     private final PhaseObserver mPhaseObserver;
     private final PartQuarantine mQuarantine;
+    private final UsageObserver mUsageObserver;
     private final PhaseSplitPolicy mPhaseSplit;
     private final EnginePriorities mEnginePriorities = new EnginePriorities();
     private final Map<String, RetryBudget> mRetryBudgets = new HashMap<>();
@@ -51,7 +52,8 @@
             DecisionLog log,
             RequestSettings settings,
             PhaseObserver phaseObserver,
-            PartQuarantine quarantine) {
+            PartQuarantine quarantine,
+            UsageObserver usageObserver) {
         mClock = clock;
         mTimers = timers;
         mRouter = router;
@@ -61,6 +63,7 @@
         mResponseMemory = ResponseMemory.of(settings.responseMemoryBytes());
         mPhaseObserver = phaseObserver;
         mQuarantine = quarantine;
+        mUsageObserver = usageObserver;
         mPhaseSplit = PhaseSplitPolicy.of(router, settings);
     }
 
@@ -72,8 +75,10 @@
             DecisionLog log,
             RequestSettings settings,
             PhaseObserver phaseObserver,
-            PartQuarantine quarantine) {
-        return new RequestHandler(clock, timers, router, log, settings, phaseObserver, quarantine);
+            PartQuarantine quarantine,
+            UsageObserver usageObserver) {
+        return new RequestHandler(
+                clock, timers, router, log, settings, phaseObserver, quarantine, usageObserver);
     }
 
     /**
@@ -267,6 +272,10 @@
         return mPhaseObserver;
     }
 
+    UsageObserver usageObserver() {
+        return mUsageObserver;
+    }
+
     EnginePriorities enginePriorities() {
         return mEnginePriorities;
     }
--- a/request/src/main/java/org/sesamedeck/request/Route.java
+++ b/request/src/main/java/org/sesamedeck/request/Route.java
@@ -16,6 +16,7 @@
  * @param tokenIntervalTarget longest mean token interval of a stream that counts as on time
  * @param priority priority; 0 is the most urgent
  * @param maxAttempts maximum number of endpoints that may run one request
+ * @param isPublic whether requests need no key of a client account
  * @param shares services that serve the route; at least one
  */
 public record Route(
@@ -28,7 +29,34 @@
         Duration tokenIntervalTarget,
         int priority,
         int maxAttempts,
+        boolean isPublic,
         List<ServiceShare> shares) {
+    /** Describes a route that is not public. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            RequestKind kind,
+            Duration timeout,
+            Duration targetLatency,
+            Duration tokenIntervalTarget,
+            int priority,
+            int maxAttempts,
+            List<ServiceShare> shares) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeout,
+                targetLatency,
+                tokenIntervalTarget,
+                priority,
+                maxAttempts,
+                false,
+                shares);
+    }
+
     /**
      * Picks the service of one request by the weights.
      *
--- a/request/src/main/java/org/sesamedeck/request/ServingConfiguration.java
+++ b/request/src/main/java/org/sesamedeck/request/ServingConfiguration.java
@@ -1,6 +1,7 @@
 package org.sesamedeck.request;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -14,24 +15,37 @@
     private final Map<String, List<Route>> mRoutesByHost;
     private final Map<String, ServiceDescription> mServices;
     private final TrafficLimits mLimits;
+    private final ClientAccounts mAccounts;
 
     private ServingConfiguration(
             long version,
             Map<String, List<Route>> routesByHost,
             Map<String, ServiceDescription> services,
-            TrafficLimits limits) {
+            TrafficLimits limits,
+            ClientAccounts accounts) {
         mVersion = version;
         mRoutesByHost = routesByHost;
         mServices = services;
         mLimits = limits;
+        mAccounts = accounts;
     }
 
-    /** Returns a configuration with the given content. */
+    /** Returns a configuration without client accounts. */
     public static ServingConfiguration of(
             long version,
             List<Route> routes,
             List<ServiceDescription> services,
             TrafficLimits limits) {
+        return of(version, routes, services, limits, ClientAccounts.none());
+    }
+
+    /** Returns a configuration with the given content. */
+    public static ServingConfiguration of(
+            long version,
+            List<Route> routes,
+            List<ServiceDescription> services,
+            TrafficLimits limits,
+            ClientAccounts accounts) {
         Map<String, List<Route>> byHost = new HashMap<>();
         for (Route route : routes) {
             byHost.computeIfAbsent(hostName(route.host()), host -> new ArrayList<>()).add(route);
@@ -41,7 +55,7 @@
         byHost.values().forEach(list -> list.sort(longestFirst));
         Map<String, ServiceDescription> byName = new HashMap<>();
         services.forEach(service -> byName.put(service.name(), service));
-        return new ServingConfiguration(version, byHost, byName, limits);
+        return new ServingConfiguration(version, byHost, byName, limits, accounts);
     }
 
     /** Returns the version; a later configuration has a higher one. */
@@ -54,6 +68,16 @@
         return mLimits;
     }
 
+    /** Returns the client accounts. */
+    public ClientAccounts accounts() {
+        return mAccounts;
+    }
+
+    /** Returns the descriptions of all services. */
+    public Collection<ServiceDescription> services() {
+        return List.copyOf(mServices.values());
+    }
+
     /** Returns the number of routes. */
     public int routeCount() {
         return mRoutesByHost.values().stream().mapToInt(List::size).sum();
--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -90,7 +90,8 @@
                                 Duration.ofMillis(250),
                                 1 << 20),
                         phases,
-                        PartQuarantine.create(mClock, "node", QuarantineListener.ignoring()));
+                        PartQuarantine.create(mClock, "node", QuarantineListener.ignoring()),
+                        UsageObserver.NONE);
         mRouter.updateEndpoints(endpoints());
     }
 
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointDescription.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointDescription.java
@@ -1,5 +1,7 @@
 package org.sesamedeck.routing;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import org.sesamedeck.core.HostAddress;
 
@@ -16,6 +18,8 @@
  * @param isChanging whether it is in the middle of a role or model change
  * @param role role of an engine
  * @param models models loaded by an engine
+ * @param isReclaimable whether the platform may take its host away at short notice
+ * @param leavesWithin time from the receipt of this description until it ends, if it has said so
  */
 public record EndpointDescription(
         String name,
@@ -27,4 +31,33 @@
         boolean isLeaving,
         boolean isChanging,
         EndpointRole role,
-        Set<String> models) {}
+        Set<String> models,
+        boolean isReclaimable,
+        Optional<Duration> leavesWithin) {
+    /** Describes an endpoint that the platform does not reclaim. */
+    public EndpointDescription(
+            String name,
+            HostAddress address,
+            String service,
+            String failureDomain,
+            String region,
+            boolean isEngine,
+            boolean isLeaving,
+            boolean isChanging,
+            EndpointRole role,
+            Set<String> models) {
+        this(
+                name,
+                address,
+                service,
+                failureDomain,
+                region,
+                isEngine,
+                isLeaving,
+                isChanging,
+                role,
+                models,
+                false,
+                Optional.empty());
+    }
+}
