Keys of client accounts

Cause: the configuration's accounts, their priorities and public routes were not decoded, and nothing read or removed the key.

Requests are now decided by RequestAccess under the configuration in force: 503 without one, 404 without a route, 401 for a missing or unknown key, before the body is awaited. It is decided again when a configuration comes into force, so that withdrawn keys reach queued requests, retries and resumed streams. Endpoints get the name of the account with every call, never the key. The priority of an account replaces that of the route in the queue and at engines.

EnginePrioritiesTest passes the priority that EnginePriorities now takes; its assertions are unchanged.

--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -26,6 +28,8 @@
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.sesamedeck.core.SesamedeckException;
+import org.sesamedeck.request.CallerRequest;
 import org.sesamedeck.request.RequestHandler;
 import org.sesamedeck.request.TrafficLimits;
 
@@ -44,6 +48,9 @@
     /** A caller that opens a connection sends its first request well within this time. */
     private static final Duration FIRST_REQUEST_TIME = Duration.ofMillis(500);
 
+    /** A caller that has read the response to the end closes its side within this time. */
+    private static final Duration DISCARD_TIME = Duration.ofMillis(500);
+
     private final CallerServer mServer;
     private final HeaderCodec mHeaderCodec;
     private final RequestHandler mRequestHandler;
@@ -104,7 +111,7 @@
      */
     void bytesReceived() {
         mHasReceived = true;
-        if (mExchange.isEmpty() && mHead == null && !mIsReadingHead) {
+        if (mExchange.isEmpty() && mHead == null && !mIsReadingHead && !mIgnoresInput) {
             mIsReadingHead = true;
             schedule(mServer.limits().headerTimeout(), () -> refuseAndClose(408, "head is late"));
         }
@@ -150,6 +157,9 @@
             refuseAndClose(413, "body is larger than " + limits.bodyBytes() + " bytes");
             return;
         }
+        if (hasBody(head) && refuseIfUnauthenticated(head)) {
+            return;
+        }
         mHead =
                 new DefaultHttpRequest(
                         head.protocolVersion(), head.method(), head.uri(), head.headers());
@@ -175,6 +185,59 @@
                 || hasEncoding && !HttpUtil.isTransferEncodingChunked(head);
     }
 
+    private static boolean hasBody(HttpRequest head) {
+        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.getContentLength(head, 0L) > 0;
+    }
+
+    /**
+     * Refuses a request without a valid key before its body arrives. Whether the caller still sends
+     * the body is not known, so that what follows cannot be read as a request and the connection is
+     * closed.
+     */
+    private boolean refuseIfUnauthenticated(HttpRequest head) {
+        CallerRequest request;
+        try {
+            request = mHeaderCodec.decodeRequest(head);
+        } catch (SesamedeckException malformed) {
+            return false; // Refused as malformed when the request is complete.
+        }
+        if (!mRequestHandler.isUnauthenticated(request)) {
+            return false;
+        }
+        mIgnoresInput = true;
+        ReceivedRequest received = new ReceivedRequest(head, new byte[0]);
+        if (mExchange.isPresent()) {
+            mPendingRefusal = Optional.of(() -> writeUnauthenticated(received, request));
+        } else {
+            writeUnauthenticated(received, request);
+        }
+        return true;
+    }
+
+    private void writeUnauthenticated(ReceivedRequest received, CallerRequest request) {
+        cancelTimer();
+        CallerExchange exchange =
+                new CallerExchange(this, mContext, mHeaderCodec, mEndpointClient, received);
+        mExchange = Optional.of(exchange);
+        exchange.refuseUnauthenticated(mRequestHandler, request);
+    }
+
+    /**
+     * Closes the connection once the response has been written. Input that still arrives is
+     * discarded for a while: closing with unread input resets the connection, and the caller could
+     * lose the response.
+     */
+    void closeAfter(ChannelFuture written) {
+        written.addListener(
+                future -> {
+                    mIgnoresInput = true;
+                    if (mContext.channel() instanceof DuplexChannel channel) {
+                        channel.shutdownOutput();
+                    }
+                    schedule(DISCARD_TIME, this::close);
+                });
+    }
+
     private void readContent(HttpContent content) {
         ByteBuf bytes = content.content();
         if (mBody.size() + bytes.readableBytes() > mServer.limits().bodyBytes()) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerExchange.java
@@ -48,6 +48,7 @@
     private Optional<HttpEndpointCall> mCall = Optional.empty();
     private String mRequestIdentifier = "";
     private boolean mKeepsAlive;
+    private boolean mHasUnreadBody;
     private boolean mIsFinished;
 
     CallerExchange(
@@ -81,6 +82,13 @@
         }
     }
 
+    /** Refuses a request whose body has not arrived and closes the connection after it. */
+    void refuseUnauthenticated(RequestHandler requestHandler, CallerRequest request) {
+        mKeepsAlive = false;
+        mHasUnreadBody = true;
+        requestHandler.refuseUnauthenticated(request, this);
+    }
+
     void callerLeft() {
         mIsFinished = true;
         mLifecycle.ifPresent(RequestLifecycle::callerLeft);
@@ -226,7 +234,9 @@
             return;
         }
         mIsFinished = true;
-        if (!mKeepsAlive) {
+        if (mHasUnreadBody) {
+            mConnection.closeAfter(written);
+        } else if (!mKeepsAlive) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
         // Deferred, so that a request that is refused synchronously ends before the next one
--- a/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
@@ -13,11 +13,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.core.SystemClock;
+import org.sesamedeck.request.ClientAccount;
+import org.sesamedeck.request.ClientAccounts;
 import org.sesamedeck.request.PhaseObserver;
 import org.sesamedeck.request.RequestHandler;
 import org.sesamedeck.request.RequestKind;
@@ -72,7 +76,7 @@
                         new NoOpPhaseObserver(),
                         PartQuarantine.create(mClock, "node", QuarantineListener.ignoring()),
                         UsageObserver.NONE);
-        requestHandler.configure(configuration());
+        requestHandler.configure(configuration(1, ClientAccounts.none()));
         PlainHeaderCodec headerCodec = new PlainHeaderCodec();
         EndpointClient client = EndpointClient.create(mLoop, mClock, headerCodec);
         CallerServer server =
@@ -132,7 +136,20 @@
                 Set.of());
     }
 
-    private static ServingConfiguration configuration() {
+    /** Puts a configuration in force in which requests need a key that an account holds. */
+    void requireKey(String key) throws Exception {
+        requireKey(key, 2);
+    }
+
+    /** Puts a configuration of the given version in force, with one key. */
+    void requireKey(String key, long version) throws Exception {
+        ClientAccount account = new ClientAccount("library", OptionalInt.empty());
+        ServingConfiguration configuration =
+                configuration(version, ClientAccounts.of(Map.of(key, account)));
+        mLoop.submit(() -> mRequestHandler.configure(configuration)).sync();
+    }
+
+    private static ServingConfiguration configuration(long version, ClientAccounts accounts) {
         List<Route> routes = new ArrayList<>();
         for (RequestKind kind : RequestKind.values()) {
             routes.add(
@@ -149,11 +166,11 @@
                             List.of(new ServiceShare("books", 1))));
         }
         return ServingConfiguration.of(
-                1,
+                version,
                 routes,
                 List.of(new ServiceDescription("books", false, 100)),
-                new TrafficLimits(
-                        4_096, BODY_LIMIT, Duration.ofMillis(400), Duration.ofSeconds(2)));
+                new TrafficLimits(4_096, BODY_LIMIT, Duration.ofMillis(400), Duration.ofSeconds(2)),
+                accounts);
     }
 
     Socket connect() throws IOException {
--- a/gateway/src/test/java/org/sesamedeck/gateway/PlainHeaderCodec.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/PlainHeaderCodec.java
@@ -25,6 +25,7 @@
                 head.headers().get("Id", ""),
                 head.headers().get("Host", ""),
                 head.uri(),
+                Optional.ofNullable(head.headers().get("Key")),
                 Optional.of(Duration.ofSeconds(10)),
                 Optional.empty(),
                 0,
--- /dev/null
+++ b/request/src/main/java/org/sesamedeck/request/AcceptedRequest.java
@@ -0,0 +1,19 @@
+package org.sesamedeck.request;
+
+import org.sesamedeck.routing.RequestProfile;
+
+/**
+ * What a configuration determines for a request that it allows.
+ *
+ * @param route route of the request
+ * @param access whether the request may still run, and for which client account
+ * @param service service that serves the request
+ * @param profile properties that the router uses
+ * @param configurationVersion version of the configuration
+ */
+record AcceptedRequest(
+        Route route,
+        RequestAccess access,
+        String service,
+        RequestProfile profile,
+        long configurationVersion) {}
--- a/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
+++ b/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
@@ -6,21 +6,17 @@
 import org.sesamedeck.routing.Assignment;
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.RequestPhase;
-import org.sesamedeck.routing.RequestProfile;
 
 /** Creates the attempts of one request and the options of their calls. */
 final class AttemptFactory {
     private final RequestHandler mHandler;
     private final CallerRequest mRequest;
-    private final Route mRoute;
-    private final RequestProfile mProfile;
+    private final AcceptedRequest mAccepted;
 
-    AttemptFactory(
-            RequestHandler handler, CallerRequest request, Route route, RequestProfile profile) {
+    AttemptFactory(RequestHandler handler, CallerRequest request, AcceptedRequest accepted) {
         mHandler = handler;
         mRequest = request;
-        mRoute = route;
-        mProfile = profile;
+        mAccepted = accepted;
     }
 
     Attempt create(
@@ -33,7 +29,7 @@
                 lifecycle,
                 assignment,
                 phase,
-                mRoute.kind().isStream() && phase != RequestPhase.PREFILL,
+                mAccepted.route().kind().isStream() && phase != RequestPhase.PREFILL,
                 promptParts);
     }
 
@@ -45,13 +41,18 @@
         Optional<EndpointDescription> cacheSource =
                 attempt.phase() == RequestPhase.DECODE
                         ? Optional.empty()
-                        : mHandler.router().cacheSource(mProfile, attempt.endpoint());
+                        : mHandler.router().cacheSource(mAccepted.profile(), attempt.endpoint());
         return new CallOptions(
                 attempt.phase(),
                 remainingTime,
-                mHandler.enginePriorities().of(mRoute, mRequest.promptTokens()),
+                mHandler.enginePriorities()
+                        .of(
+                                mAccepted.route(),
+                                mAccepted.access().priority(),
+                                mRequest.promptTokens()),
                 processedPrompt,
                 cacheSource,
+                mAccepted.access().account().map(ClientAccount::name),
                 lastEvent);
     }
 }
--- a/request/src/main/java/org/sesamedeck/request/CallerRequest.java
+++ b/request/src/main/java/org/sesamedeck/request/CallerRequest.java
@@ -53,4 +53,10 @@
                 promptParts,
                 lastEvent);
     }
+
+    /** Returns the identifier only: the key must not appear in logs. */
+    @Override
+    public String toString() {
+        return "request " + identifier;
+    }
 }
--- a/request/src/main/java/org/sesamedeck/request/EnginePriorities.java
+++ b/request/src/main/java/org/sesamedeck/request/EnginePriorities.java
@@ -29,10 +29,14 @@
         mMeanPromptTokens.put(route.name(), mean + LEARNING_RATE * (promptTokens - mean));
     }
 
-    /** Returns the priority of a request at an engine; 0 is the most urgent. */
-    int of(Route route, long promptTokens) {
+    /**
+     * Returns the priority of a request at an engine; 0 is the most urgent.
+     *
+     * @param priority priority of the client account, or else of the route
+     */
+    int of(Route route, int priority, long promptTokens) {
         double mean = mMeanPromptTokens.getOrDefault(route.name(), (double) promptTokens);
         boolean isLong = promptTokens > mean * LONG_PROMPT_FACTOR;
-        return PRIORITIES_PER_ROUTE * Math.max(0, route.priority()) + (isLong ? 0 : 1);
+        return PRIORITIES_PER_ROUTE * Math.max(0, priority) + (isLong ? 0 : 1);
     }
 }
--- /dev/null
+++ b/request/src/main/java/org/sesamedeck/request/RequestAccess.java
@@ -0,0 +1,67 @@
+package org.sesamedeck.request;
+
+import java.util.Optional;
+
+/**
+ * Whether a request may run under the configuration in force, and for which client account.
+ * Confined to one thread.
+ *
+ * <p>It is decided again whenever another configuration has come into force, so that a request that
+ * still waits, or is sent once more, is held to the newest keys. A key that has moved to another
+ * account gives the request that account. On public routes a request needs no key; one that carries
+ * a known key belongs to the account that holds it, and any other to none.
+ */
+final class RequestAccess {
+    private final RequestHandler mHandler;
+    private final Optional<String> mKey;
+    private final Route mRoute;
+    private long mDecidedVersion;
+    private boolean mIsAllowed;
+    private Optional<ClientAccount> mAccount = Optional.empty();
+
+    private RequestAccess(RequestHandler handler, CallerRequest request, Route route) {
+        mHandler = handler;
+        mKey = request.accountKey();
+        mRoute = route;
+        decide(handler.configuration().orElseThrow());
+    }
+
+    /** Decides on a request under the configuration in force; there must be one. */
+    static RequestAccess of(RequestHandler handler, CallerRequest request, Route route) {
+        return new RequestAccess(handler, request, route);
+    }
+
+    /** Returns whether the request may run under the configuration in force. */
+    boolean isAllowed() {
+        ServingConfiguration configuration = mHandler.configuration().orElseThrow();
+        if (configuration.version() != mDecidedVersion) {
+            decide(configuration);
+        }
+        return mIsAllowed;
+    }
+
+    private void decide(ServingConfiguration configuration) {
+        ClientAccounts accounts = configuration.accounts();
+        mDecidedVersion = configuration.version();
+        mAccount = mKey.flatMap(accounts::holderOf);
+        mIsAllowed = !accounts.areRequired() || mRoute.isPublic() || mAccount.isPresent();
+    }
+
+    /** Returns the account to which the request belongs, as of the last decision. */
+    Optional<ClientAccount> account() {
+        return mAccount;
+    }
+
+    /** Returns the priority of the account, or else of the route; 0 is the most urgent. */
+    int priority() {
+        return mAccount.map(account -> account.priority().orElse(mRoute.priority()))
+                .orElse(mRoute.priority());
+    }
+
+    /** Returns why the request may not run, without the key. */
+    String refusalCause() {
+        return mKey.isPresent()
+                ? "the key belongs to no client account"
+                : "the request carries no key of a client account";
+    }
+}
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -82,7 +82,8 @@
     }
 
     /**
-     * Puts a configuration in force unless the version in force is at least as high.
+     * Puts a configuration in force unless the version in force is at least as high. Requests that
+     * wait for an endpoint and whose key it no longer holds are refused.
      *
      * @return whether the configuration was put in force
      */
@@ -92,6 +93,7 @@
             return false;
         }
         mConfiguration = Optional.of(configuration);
+        List.copyOf(mActiveRequests).forEach(RequestLifecycle::configurationChanged);
         return true;
     }
 
@@ -131,6 +133,29 @@
         return mActiveRequests.size();
     }
 
+    /**
+     * Returns whether the request can be refused before its body has arrived, since its route needs
+     * a key of a client account and it carries none that the configuration in force knows.
+     */
+    public boolean isUnauthenticated(CallerRequest request) {
+        return mConfiguration
+                .flatMap(configuration -> configuration.route(request.host(), request.path()))
+                .map(route -> !RequestAccess.of(this, request, route).isAllowed())
+                .orElse(false);
+    }
+
+    /**
+     * Refuses a request for which {@link #isUnauthenticated} was true when its head arrived. It is
+     * not decided again, as the request may lack its body.
+     */
+    public void refuseUnauthenticated(CallerRequest request, RequestPort port) {
+        refuse(
+                request,
+                port,
+                ResultCode.UNAUTHENTICATED,
+                "the request carries no known key of a client account");
+    }
+
     /** Starts a request, whose response or refusal is sent through the port. */
     public RequestLifecycle start(CallerRequest request, RequestPort port) {
         if (mIsStopping) {
@@ -152,21 +177,20 @@
                             + " and this path in configuration version "
                             + configuration.version());
         }
+        RequestAccess access = RequestAccess.of(this, request, route.get());
+        if (!access.isAllowed()) {
+            return refuse(request, port, ResultCode.UNAUTHENTICATED, access.refusalCause());
+        }
         String service = route.get().pickService(request.identifier().hashCode());
         boolean isEngine =
                 configuration.service(service).map(ServiceDescription::isEngine).orElse(false);
-        RequestProfile profile = profile(request, route.get(), service, isEngine);
+        RequestProfile profile = profile(request, route.get(), access, service, isEngine);
         mEnginePriorities.record(route.get(), request.promptTokens());
         retryBudget(service).recordRequest();
+        AcceptedRequest accepted =
+                new AcceptedRequest(route.get(), access, service, profile, configuration.version());
         RequestLifecycle lifecycle =
-                new RequestLifecycle(
-                        this,
-                        request,
-                        route.get(),
-                        service,
-                        profile,
-                        configuration.version(),
-                        port);
+                RequestLifecycle.of(this, request, Optional.of(accepted), port);
         mActiveRequests.add(lifecycle);
         lifecycle.start();
         return lifecycle;
@@ -174,7 +198,7 @@
 
     private RequestLifecycle refuse(
             CallerRequest request, RequestPort port, ResultCode code, String message) {
-        RequestLifecycle lifecycle = RequestLifecycle.withoutRoute(this, request, port);
+        RequestLifecycle lifecycle = RequestLifecycle.of(this, request, Optional.empty(), port);
         Optional<Duration> retryAfter = code.isRetryable() ? defaultRetryAfter() : Optional.empty();
         lifecycle.refuse(code, message, retryAfter);
         return lifecycle;
@@ -185,7 +209,11 @@
      * empty, since only admission control uses them.
      */
     private RequestProfile profile(
-            CallerRequest request, Route route, String service, boolean isEngine) {
+            CallerRequest request,
+            Route route,
+            RequestAccess access,
+            String service,
+            boolean isEngine) {
         String target = isEngine ? targetOf(service, request.model().orElse("")) : service;
         return new RequestProfile(
                 "",
@@ -193,7 +221,7 @@
                 target,
                 isEngine,
                 MAX_PROFILE_PRIORITY
-                        - Math.min(MAX_PROFILE_PRIORITY, Math.max(0, route.priority())),
+                        - Math.min(MAX_PROFILE_PRIORITY, Math.max(0, access.priority())),
                 request.promptTokens(),
                 isEngine ? Math.round(mResponseLengths.expected(route.name())) : 0,
                 isEngine ? PromptBlocks.hashes(target, request.promptParts()) : new long[0],
@@ -220,8 +248,9 @@
     }
 
     /** Returns the retry-after delay for a request that waited for decode capacity in vain. */
-    Optional<Duration> overloadRetryAfter(String service, int priority, String identifier) {
-        return requestQueue(service).retryAfter(priority, mSettings.retryAfter(), identifier);
+    Optional<Duration> overloadRetryAfter(AcceptedRequest request, String identifier) {
+        return requestQueue(request.service())
+                .retryAfter(request.access().priority(), mSettings.retryAfter(), identifier);
     }
 
     RetryBudget retryBudget(String service) {
--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -6,7 +6,6 @@
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.routing.Assignment;
 import org.sesamedeck.routing.RequestPhase;
-import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.quarantine.QuarantinedPart;
 
 /**
@@ -17,21 +16,15 @@
  * prompt that was not used is released.
  */
 public final class RequestLifecycle {
-    /** With less remaining time than this an endpoint could not respond, so nothing is sent. */
-    private static final Duration MIN_REMAINING_TIME = Duration.ofMillis(20);
-
     /** Responses this short hardly occupy a decode batch, so they are not queued for capacity. */
     private static final int SHORT_RESPONSE_EVENTS = 5;
 
     private final RequestHandler mHandler;
     private final CallerRequest mRequest;
-    private final Optional<Route> mRoute;
-    private final Optional<RequestProfile> mProfile;
-    private final String mService;
+    private final Optional<AcceptedRequest> mAccepted;
     private final RequestPort mPort;
     private final RequestLog mLog;
-    private final long mArrivedNanos;
-    private final long mDeadlineNanos;
+    private final RequestDeadline mDeadline;
     private final StreamDelivery mStream;
     private final PromptPartGuard mPromptParts;
     private final AttemptHistory mHistory = new AttemptHistory();
@@ -41,49 +34,33 @@
     private boolean mIsOver;
     private long mFirstByteNanos;
 
-    RequestLifecycle(
-            RequestHandler handler,
-            CallerRequest request,
-            Route route,
-            String service,
-            RequestProfile profile,
-            long configurationVersion,
-            RequestPort port) {
-        this(handler, request, Optional.of(route), service, Optional.of(profile), port);
-        mLog.admitted(route, service, configurationVersion, mDeadlineNanos - mArrivedNanos);
-    }
-
     private RequestLifecycle(
             RequestHandler handler,
             CallerRequest request,
-            Optional<Route> route,
-            String service,
-            Optional<RequestProfile> profile,
+            Optional<AcceptedRequest> accepted,
             RequestPort port) {
         mHandler = handler;
         mRequest = request;
-        mRoute = route;
-        mProfile = profile;
-        mService = service;
+        mAccepted = accepted;
         mPort = port;
+        String target = accepted.map(it -> it.profile().target()).orElse("");
         mPromptParts =
                 PromptPartGuard.of(
-                        handler.quarantine(),
-                        handler.router(),
-                        profile.map(RequestProfile::target).orElse(""),
-                        request.promptParts());
-        mArrivedNanos = handler.clock().nanoTime();
+                        handler.quarantine(), handler.router(), target, request.promptParts());
+        Optional<Route> route = accepted.map(AcceptedRequest::route);
         mLog = RequestLog.of(handler.clock(), request, route);
-        Duration timeout = route.map(Route::timeout).orElse(Duration.ofSeconds(1));
-        Duration clientTimeout = request.clientTimeout().orElse(timeout);
-        mDeadlineNanos =
-                mArrivedNanos + Math.min(timeout.toNanos(), Math.max(0, clientTimeout.toNanos()));
+        mDeadline = RequestDeadline.of(handler.clock(), request, route);
         mStream = new StreamDelivery(port, request.lastEvent());
+        accepted.ifPresent(it -> mLog.admitted(it, mDeadline.remainingNanos()));
     }
 
-    static RequestLifecycle withoutRoute(
-            RequestHandler handler, CallerRequest request, RequestPort port) {
-        return new RequestLifecycle(handler, request, Optional.empty(), "", Optional.empty(), port);
+    /** Returns a request; without an accepted one, it can only be refused. */
+    static RequestLifecycle of(
+            RequestHandler handler,
+            CallerRequest request,
+            Optional<AcceptedRequest> accepted,
+            RequestPort port) {
+        return new RequestLifecycle(handler, request, accepted, port);
     }
 
     /** Returns whether the request has ended. */
@@ -92,26 +69,23 @@
     }
 
     void start() {
-        mTimer =
-                Optional.of(
-                        mHandler.timers()
-                                .schedule(
-                                        Duration.ofNanos(mDeadlineNanos - mArrivedNanos),
-                                        this::expire));
+        Duration remainingTime = Duration.ofNanos(mDeadline.remainingNanos());
+        mTimer = Optional.of(mHandler.timers().schedule(remainingTime, this::expire));
         if (refuseIfQuarantined()) {
             return;
         }
-        if (mProfile.orElseThrow().expectedOutputTokens() <= SHORT_RESPONSE_EVENTS) {
+        if (accepted().profile().expectedOutputTokens() <= SHORT_RESPONSE_EVENTS) {
             dispatch();
             return;
         }
-        RequestQueue queue = mHandler.requestQueue(mService);
-        int ahead = queue.ahead(priority());
+        RequestQueue queue = mHandler.requestQueue(accepted().service());
+        int priority = accepted().access().priority();
+        int ahead = queue.ahead(priority);
         if (ahead == 0 && dispatchIfCapacity()) {
             return;
         }
-        mLog.queued(ahead, mHandler.router().decodeCapacity(mProfile.orElseThrow()));
-        if (!queue.enqueue(this, priority(), Duration.ofNanos(mDeadlineNanos - mArrivedNanos))) {
+        mLog.queued(ahead, mHandler.router().decodeCapacity(accepted().profile()));
+        if (!queue.enqueue(this, priority, remainingTime)) {
             refuseOverloaded();
         }
     }
@@ -122,24 +96,19 @@
             refuse(
                     ResultCode.OVERLOADED,
                     "engines have no room",
-                    mHandler.overloadRetryAfter(mService, priority(), mRequest.identifier()));
+                    mHandler.overloadRetryAfter(accepted(), mRequest.identifier()));
         }
     }
 
     /** Sends the request if there is decode capacity for it, and returns whether there is. */
     boolean dispatchIfCapacity() {
-        boolean hasCapacity =
-                mHandler.router().decodeCapacity(mProfile.orElseThrow()).isAvailable();
+        boolean hasCapacity = mHandler.router().decodeCapacity(accepted().profile()).isAvailable();
         if (hasCapacity) {
             dispatch();
         }
         return hasCapacity;
     }
 
-    private int priority() {
-        return mRoute.orElseThrow().priority();
-    }
-
     /** Ends the request because its caller disconnected; a call in progress is cancelled. */
     public void callerLeft() {
         if (mIsOver) {
@@ -150,26 +119,25 @@
     }
 
     private void dispatch() {
-        long remainingTime = mDeadlineNanos - now();
-        if (remainingTime < MIN_REMAINING_TIME.toNanos()) {
+        if (!mDeadline.allowsSending()) {
             expire();
             return;
         }
-        if (refuseIfQuarantined()) {
+        if (refuseIfUnauthenticated() || refuseIfQuarantined()) {
             return;
         }
         RequestPhase phase =
                 mProcessedPrompt.isPresent()
                         ? RequestPhase.DECODE
                         : mHandler.phaseSplit()
-                                .firstPhase(mProfile.orElseThrow(), mHistory.mayPrefill());
+                                .firstPhase(accepted().profile(), mHistory.mayPrefill());
         Optional<Assignment> chosen =
-                mHandler.router().choosePhase(mProfile.orElseThrow(), phase, mHistory.excluded());
+                mHandler.router().choosePhase(accepted().profile(), phase, mHistory.excluded());
         if (chosen.isEmpty()) {
             noEndpointAvailable(phase);
             return;
         }
-        send(chosen.get(), phase, remainingTime);
+        send(chosen.get(), phase);
     }
 
     private void noEndpointAvailable(RequestPhase phase) {
@@ -186,10 +154,9 @@
                 "no endpoint can take the request now");
     }
 
-    private void send(Assignment assignment, RequestPhase phase, long remainingNanos) {
-        AttemptFactory attempts =
-                new AttemptFactory(
-                        mHandler, mRequest, mRoute.orElseThrow(), mProfile.orElseThrow());
+    private void send(Assignment assignment, RequestPhase phase) {
+        long remainingNanos = mDeadline.remainingNanos();
+        AttemptFactory attempts = new AttemptFactory(mHandler, mRequest, accepted());
         Attempt attempt = attempts.create(this, assignment, phase, mPromptParts);
         mAttempt = Optional.of(attempt);
         CallOptions options =
@@ -252,7 +219,7 @@
                         isServerFailure && kind().isRepeatable() && mayRetry());
         if (step == NextStep.RELAY_FAILURE && !RetryPolicy.impliesNotRun(head.status())) {
             mPort.respond(head, body);
-            mLog.completed(attempt, head.status(), now() - mArrivedNanos);
+            mLog.completed(attempt, head.status(), mDeadline.elapsedNanos());
             end(RequestOutcome.FAILED_BY_ENDPOINT);
         } else if (step == NextStep.RELAY_FAILURE) {
             fail("endpoint ran the request and answered " + head.status());
@@ -268,7 +235,7 @@
         mAttempt = Optional.empty();
         mHandler.phaseObserver()
                 .promptProcessed(
-                        mService,
+                        accepted().service(),
                         mRequest.promptTokens(),
                         Duration.ofNanos(now() - attempt.sentNanos()));
         Optional<String> handle = mPort.processedPromptHandle(head, body);
@@ -296,7 +263,7 @@
         mAttempt = Optional.empty();
         mProcessedPrompt = Optional.empty();
         mStream.end(head, now());
-        mHandler.streamCompleted(mRoute.orElseThrow(), mService, mStream);
+        mHandler.streamCompleted(accepted().route(), accepted().service(), mStream);
         completed(attempt, head);
     }
 
@@ -305,16 +272,16 @@
             return;
         }
         mAttempt = Optional.empty();
-        mFirstByteNanos = now() - mArrivedNanos;
+        mFirstByteNanos = mDeadline.elapsedNanos();
         mPort.respond(head, body);
         completed(attempt, head);
     }
 
     private void completed(Attempt attempt, ResponseHead head) {
         if (mStream.isStarted()) {
-            mFirstByteNanos = mStream.startedNanos() - mArrivedNanos;
+            mFirstByteNanos = mDeadline.sinceArrival(mStream.startedNanos());
         }
-        boolean isOnTime = mFirstByteNanos <= mRoute.orElseThrow().targetLatency().toNanos();
+        boolean isOnTime = mFirstByteNanos <= accepted().route().targetLatency().toNanos();
         mLog.completed(attempt, head.status(), mFirstByteNanos);
         end(isOnTime ? RequestOutcome.SERVED : RequestOutcome.SERVED_LATE);
     }
@@ -339,9 +306,9 @@
 
     /** Takes a retry from the budget if the attempt limits and the remaining time allow one. */
     private boolean mayRetry() {
-        return mHistory.mayRetry(mRoute.orElseThrow())
-                && mDeadlineNanos - now() >= MIN_REMAINING_TIME.toNanos()
-                && mHandler.retryBudget(mService).tryRetry();
+        return mHistory.mayRetry(accepted().route())
+                && mDeadline.allowsSending()
+                && mHandler.retryBudget(accepted().service()).tryRetry();
     }
 
     private void perform(NextStep step, AttemptOutcome outcome, String cause) {
@@ -376,6 +343,26 @@
         mAttempt = Optional.empty();
     }
 
+    /**
+     * Ends the request if its key has been withdrawn since it was accepted; returns whether it has
+     * ended. Calls in progress go on, since their endpoint has begun to work for the account.
+     */
+    private boolean refuseIfUnauthenticated() {
+        RequestAccess access = accepted().access();
+        boolean isAllowed = access.isAllowed();
+        if (!isAllowed) {
+            endWithoutSending(ResultCode.UNAUTHENTICATED, access.refusalCause(), Optional.empty());
+        }
+        return !isAllowed;
+    }
+
+    /** Ends the request if it waits and the configuration in force no longer allows it. */
+    void configurationChanged() {
+        if (!mIsOver && mAttempt.isEmpty()) {
+            refuseIfUnauthenticated();
+        }
+    }
+
     /** Ends the request if its prompt has a quarantined part; returns whether it has ended. */
     private boolean refuseIfQuarantined() {
         Optional<QuarantinedPart> part =
@@ -393,11 +380,20 @@
 
     private void endAsQuarantined(QuarantinedPart part) {
         cancelAttempt();
-        String cause = PromptPartGuard.cause(part);
-        if (mHistory.mayHaveRun()) {
+        endWithoutSending(
+                ResultCode.PART_QUARANTINED,
+                PromptPartGuard.cause(part),
+                Optional.of(part.retryAfter()));
+    }
+
+    /** Ends a request that is not sent again; only one that has not run is told the code. */
+    private void endWithoutSending(ResultCode code, String cause, Optional<Duration> retryAfter) {
+        if (mStream.isStarted()) {
+            abortStream(cause);
+        } else if (mHistory.mayHaveRun()) {
             fail(cause);
         } else {
-            refuse(ResultCode.PART_QUARANTINED, cause, Optional.of(part.retryAfter()));
+            refuse(code, cause, retryAfter);
         }
     }
 
@@ -432,7 +428,7 @@
         mAttempt.ifPresent(Attempt::cancel);
         mAttempt = Optional.empty();
         releasePrompt();
-        mHandler.ended(this, mLog.end(outcome, mFirstByteNanos, now() - mArrivedNanos));
+        mHandler.ended(this, mLog.end(outcome, mFirstByteNanos, mDeadline.elapsedNanos()));
     }
 
     private void releasePrompt() {
@@ -440,8 +436,12 @@
         mProcessedPrompt = Optional.empty();
     }
 
+    private AcceptedRequest accepted() {
+        return mAccepted.orElseThrow();
+    }
+
     private RequestKind kind() {
-        return mRoute.orElseThrow().kind();
+        return accepted().route().kind();
     }
 
     private long now() {
--- a/request/src/main/java/org/sesamedeck/request/RequestLog.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLog.java
@@ -29,12 +29,13 @@
                 request);
     }
 
-    void admitted(Route route, String service, long configurationVersion, long remainingNanos) {
-        add(Decision.ADMITTED)
-                .with("route", route.name())
-                .with("kind", route.kind())
-                .with("service", service)
-                .with("configurationVersion", configurationVersion)
+    void admitted(AcceptedRequest accepted, long remainingNanos) {
+        LogEntry entry = add(Decision.ADMITTED);
+        accepted.access().account().ifPresent(account -> entry.with("account", account.name()));
+        entry.with("route", accepted.route().name())
+                .with("kind", accepted.route().kind())
+                .with("service", accepted.service())
+                .with("configurationVersion", accepted.configurationVersion())
                 .with("timeLeftMillis", remainingNanos / NANOS_PER_MILLI)
                 .with("promptTokens", mRequest.promptTokens())
                 .with("outputTokens", mRequest.outputTokens())
--- a/request/src/test/java/org/sesamedeck/request/EnginePrioritiesTest.java
+++ b/request/src/test/java/org/sesamedeck/request/EnginePrioritiesTest.java
@@ -71,7 +71,9 @@
                 arrival.add(i);
             }
             List<Integer> order = new ArrayList<>(arrival);
-            order.sort(Comparator.comparingInt(index -> mPriorities.of(route, prompts.get(index))));
+            order.sort(
+                    Comparator.comparingInt(
+                            index -> mPriorities.of(route, route.priority(), prompts.get(index))));
             byPriority += servedLongPrompts(prompts, order);
             byArrival += servedLongPrompts(prompts, arrival);
         }
@@ -87,8 +89,12 @@
             mPriorities.record(urgent, 1_000);
             mPriorities.record(lessUrgent, 10_000);
         }
-        assertThat(mPriorities.of(urgent, 500), lessThan(mPriorities.of(lessUrgent, 50_000)));
-        assertThat(mPriorities.of(lessUrgent, 50_000), lessThan(mPriorities.of(lessUrgent, 9_000)));
-        assertThat(mPriorities.of(urgent, 5_000), lessThanOrEqualTo(0));
+        assertThat(
+                mPriorities.of(urgent, urgent.priority(), 500),
+                lessThan(mPriorities.of(lessUrgent, lessUrgent.priority(), 50_000)));
+        assertThat(
+                mPriorities.of(lessUrgent, lessUrgent.priority(), 50_000),
+                lessThan(mPriorities.of(lessUrgent, lessUrgent.priority(), 9_000)));
+        assertThat(mPriorities.of(urgent, urgent.priority(), 5_000), lessThanOrEqualTo(0));
     }
 }
--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -127,6 +127,11 @@
     }
 
     static ServingConfiguration configuration(long version) {
+        return configuration(version, ClientAccounts.none(), false);
+    }
+
+    static ServingConfiguration configuration(
+            long version, ClientAccounts accounts, boolean isPublic) {
         List<Route> routes = new ArrayList<>();
         for (RequestKind kind : RequestKind.values()) {
             String service = kind.isStream() ? "models" : "books";
@@ -141,6 +146,7 @@
                             Duration.ofMillis(300),
                             1,
                             MAX_ATTEMPTS,
+                            isPublic,
                             List.of(new ServiceShare(service, 1))));
         }
         return ServingConfiguration.of(
@@ -149,7 +155,8 @@
                 List.of(
                         new ServiceDescription("books", false, 100),
                         new ServiceDescription("models", true, 100)),
-                TrafficLimits.initial());
+                TrafficLimits.initial(),
+                accounts);
     }
 
     static String path(RequestKind kind) {
@@ -167,6 +174,25 @@
     /** Starts a request whose prompt begins with the given parts and ends with one of its own. */
     RequestLifecycle start(
             String path, OptionalLong lastEvent, List<PromptPart> sharedParts, RecordingPort port) {
+        return start(path, Optional.empty(), lastEvent, sharedParts, port);
+    }
+
+    /** Starts a request that carries the key of a client account. */
+    RequestLifecycle startWithKey(RequestKind kind, String key, RecordingPort port) {
+        return start(
+                path(kind) + "x",
+                Optional.of(key),
+                OptionalLong.empty(),
+                List.of(new PromptPart(1, 3_000)),
+                port);
+    }
+
+    private RequestLifecycle start(
+            String path,
+            Optional<String> key,
+            OptionalLong lastEvent,
+            List<PromptPart> sharedParts,
+            RecordingPort port) {
         mRequests++;
         List<PromptPart> parts = new ArrayList<>(sharedParts);
         parts.add(new PromptPart(OWN_PARTS_START + mRequests, 1_000));
@@ -175,6 +201,7 @@
                         "request-" + mRequests,
                         HOST,
                         path,
+                        key,
                         Optional.of(Duration.ofSeconds(10)),
                         Optional.of("m"),
                         4_000,
