--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
@@ -157,7 +157,7 @@
             refuseAndClose(413, "body is larger than " + limits.bodyBytes() + " bytes");
             return;
         }
-        if (hasBody(head) && refuseIfUnauthenticated(head)) {
+        if (mRequestHandler.requiresKeys() && hasBody(head) && refuseIfUnauthenticated(head)) {
             return;
         }
         mHead =
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -133,6 +133,13 @@
         return mActiveRequests.size();
     }
 
+    /** Returns whether the configuration in force names client accounts. */
+    public boolean requiresKeys() {
+        return mConfiguration
+                .map(configuration -> configuration.accounts().areRequired())
+                .orElse(false);
+    }
+
     /**
      * Returns whether the request can be refused before its body has arrived, since its route needs
      * a key of a client account and it carries none that the configuration in force knows.
