--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -120,7 +120,7 @@
      */
     WatchSchedule watchSchedule(String kind, WatchPace pace) {
         return new FleetWatchSchedule(
-                kind, pace, mProgress, mExchange::isFullMesh, mExchange::ranksFirstInGroup);
+                kind, pace, mProgress, mExchange::isFullMesh, mExchange::isStoreWatcher);
     }
 
     private void exchangeLoad() {
--- a/routing/src/main/java/org/sesamedeck/routing/ExchangeTopology.java
+++ b/routing/src/main/java/org/sesamedeck/routing/ExchangeTopology.java
@@ -85,6 +85,12 @@
         return mGroups.isEmpty() ? List.of() : mGroups.get(mOwnGroup);
     }
 
+    /** Returns whether this process's group is one of at most the given number, evenly spread. */
+    boolean isOneOfSpread(int number) {
+        int stride = (mGroups.size() + number - 1) / number;
+        return mOwnGroup % Math.max(1, stride) == 0;
+    }
+
     /** Returns the other groups, each by rank. */
     List<List<String>> otherGroups() {
         List<List<String>> groups = new ArrayList<>(mGroups);
--- a/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
@@ -30,6 +30,9 @@
     /** More updates than a relay gets between two messages; beyond it, the oldest are dropped. */
     private static final int MAX_PREFIX_UPDATES = 256;
 
+    /** Spread over the groups, so that the loss of a failure domain leaves some of them. */
+    private static final int STORE_WATCHERS = 4;
+
     private final String mSelf;
     private final long mIncarnation;
     private final PeerLoads mProcesses;
@@ -83,12 +86,14 @@
     }
 
     /**
-     * Returns whether this process ranks first in its group. All processes agree on the ranking;
-     * whether the first one responds is not taken into account.
+     * Returns whether this process is one of a few that watch the store closely for the others, one
+     * in every few groups. All processes agree on them; whether they respond is not taken into
+     * account.
      */
-    public boolean ranksFirstInGroup() {
+    public boolean isStoreWatcher() {
         List<String> group = mTopology.ownGroup();
-        return group.isEmpty() || group.get(0).equals(mSelf);
+        return group.isEmpty()
+                || mTopology.isOneOfSpread(STORE_WATCHERS) && group.get(0).equals(mSelf);
     }
 
     /** Returns whether every process sends to every other one. */
