--- a/coordination/src/main/java/org/sesamedeck/platform/ObjectStore.java
+++ b/coordination/src/main/java/org/sesamedeck/platform/ObjectStore.java
@@ -15,6 +15,14 @@
     /** Reads an object; empty when it does not exist. */
     CompletableFuture<Optional<StoredObject>> get(ObjectKey key);
 
+    /**
+     * Reads an object as it may have been some seconds ago. Cheaper than {@link #get} where the
+     * store offers such reads.
+     */
+    default CompletableFuture<Optional<StoredObject>> getStale(ObjectKey key) {
+        return get(key);
+    }
+
     /** Reads all objects of a kind. */
     CompletableFuture<List<StoredObject>> list(String kind);
 
--- a/gateway/src/test/java/org/sesamedeck/gateway/RecordingLog.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/RecordingLog.java
@@ -8,7 +8,7 @@
 import org.sesamedeck.request.RequestTrace;
 
 /** Records the logged decisions for assertions. */
-final class RecordingLog implements DecisionLog {
+public final class RecordingLog implements DecisionLog {
     private final List<Decision> mDecisions = new ArrayList<>();
 
     @Override
@@ -19,7 +19,8 @@
     @Override
     public void requestEnded(RequestTrace trace) {}
 
-    List<Decision> decisions() {
+    /** Returns the decisions in order. */
+    public List<Decision> decisions() {
         return mDecisions;
     }
 }
