Client and settings of the platform's API of duties

The gateway had no client for POST /usage and POST /scale. PlatformDutyClient translates both calls; it asks whether the right is still usable when the connection is ready, since connecting may take longer than the right lasts, and abandons a call by resetting the connection, since bytes that a partition holds up would otherwise arrive after a successor's calls. Lease, rate, window and lateness come from the new section [duties]; without its address there are no duties.

--- a/gateway/src/main/java/org/sesamedeck/gateway/HttpCallClient.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/HttpCallClient.java
@@ -22,9 +22,11 @@
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.core.SesamedeckException;
@@ -41,6 +43,7 @@
 
     private final EventLoop mLoop;
     private final HostAddress mAddress;
+    private final boolean mIsResetting;
     private final ArrayDeque<Connection> mIdleConnections = new ArrayDeque<>();
 
     /**
@@ -51,14 +54,30 @@
      */
     public record Response(int status, byte[] body) {}
 
-    private HttpCallClient(EventLoop loop, HostAddress address) {
+    private record Call(
+            FullHttpRequest request,
+            Duration timeout,
+            BooleanSupplier maySend,
+            CompletableFuture<Response> result) {}
+
+    private HttpCallClient(EventLoop loop, HostAddress address, boolean isResetting) {
         mLoop = loop;
         mAddress = address;
+        mIsResetting = isResetting;
     }
 
     /** Returns a client without connections. */
     public static HttpCallClient create(EventLoop loop, HostAddress address) {
-        return new HttpCallClient(loop, address);
+        return new HttpCallClient(loop, address, false);
+    }
+
+    /**
+     * Returns a client without connections that resets the connection of an abandoned call. Bytes
+     * that a partition holds up are then lost; after an ordinary close they would still arrive when
+     * the partition heals, long after the call was abandoned.
+     */
+    public static HttpCallClient createResetting(EventLoop loop, HostAddress address) {
+        return new HttpCallClient(loop, address, true);
     }
 
     /**
@@ -72,7 +91,7 @@
      */
     public CompletableFuture<Response> call(
             HttpMethod method, String path, byte[] body, Duration timeout) {
-        return call(request(method, path, body), timeout);
+        return call(method, path, Map.of(), body, timeout, () -> true);
     }
 
     /**
@@ -86,19 +105,29 @@
             String headerValue,
             byte[] body,
             Duration timeout) {
-        FullHttpRequest request = request(method, path, body);
-        request.headers().set(headerName, headerValue);
-        return call(request, timeout);
+        return call(method, path, Map.of(headerName, headerValue), body, timeout, () -> true);
     }
 
-    private CompletableFuture<Response> call(FullHttpRequest request, Duration timeout) {
-        CompletableFuture<Response> result = new CompletableFuture<>();
+    /**
+     * Sends a request with additional headers, unless it may not be sent any more when the
+     * connection is ready; otherwise like {@link #call(HttpMethod, String, byte[], Duration)}.
+     */
+    public CompletableFuture<Response> call(
+            HttpMethod method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            Duration timeout,
+            BooleanSupplier maySend) {
+        FullHttpRequest request = request(method, path, body);
+        headers.forEach(request.headers()::set);
+        Call call = new Call(request, timeout, maySend, new CompletableFuture<>());
         if (mLoop.inEventLoop()) {
-            start(request, timeout, result);
+            start(call);
         } else {
-            mLoop.execute(() -> start(request, timeout, result));
+            mLoop.execute(() -> start(call));
         }
-        return result;
+        return call.result();
     }
 
     private FullHttpRequest request(HttpMethod method, String path, byte[] body) {
@@ -113,14 +142,13 @@
         return request;
     }
 
-    private void start(
-            FullHttpRequest request, Duration timeout, CompletableFuture<Response> result) {
+    private void start(Call call) {
         Connection idle = mIdleConnections.pollLast();
         while (idle != null && !idle.isOpen()) {
             idle = mIdleConnections.pollLast();
         }
         if (idle != null) {
-            idle.send(request, timeout, result);
+            idle.send(call);
             return;
         }
         Connection connection = new Connection();
@@ -129,11 +157,14 @@
                 .channel(NioSocketChannel.class)
                 .option(
                         ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.min(CONNECT_TIMEOUT.toMillis(), timeout.toMillis()))
+                        (int) Math.min(CONNECT_TIMEOUT.toMillis(), call.timeout().toMillis()))
                 .handler(
                         new ChannelInitializer<Channel>() {
                             @Override
                             protected void initChannel(Channel channel) {
+                                if (mIsResetting) {
+                                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                                }
                                 channel.pipeline()
                                         .addLast(
                                                 new HttpClientCodec(),
@@ -145,14 +176,15 @@
                 .addListener(
                         done -> {
                             if (done.isSuccess()) {
-                                connection.send(request, timeout, result);
+                                connection.send(call);
                             } else {
-                                request.release();
-                                result.completeExceptionally(
-                                        SesamedeckException.of(
-                                                ResultCode.STORE_UNAVAILABLE,
-                                                "connecting to " + mAddress + " failed",
-                                                done.cause()));
+                                call.request().release();
+                                call.result()
+                                        .completeExceptionally(
+                                                SesamedeckException.of(
+                                                        ResultCode.STORE_UNAVAILABLE,
+                                                        "connecting to " + mAddress + " failed",
+                                                        done.cause()));
                             }
                         });
     }
@@ -187,14 +219,28 @@
             mContext.close();
         }
 
-        void send(FullHttpRequest request, Duration timeout, CompletableFuture<Response> result) {
-            mResult = Optional.of(result);
+        void send(Call call) {
+            if (!call.maySend().getAsBoolean()) {
+                mIdleConnections.addLast(this);
+                call.request().release();
+                call.result()
+                        .completeExceptionally(
+                                SesamedeckException.of(
+                                        ResultCode.STORE_UNAVAILABLE,
+                                        "not sent to " + mAddress + ": the right has ended"));
+                return;
+            }
+            mResult = Optional.of(call.result());
             mTimer =
                     mLoop.schedule(
-                            () -> timeOut("no response within " + timeout.toMillis() + " ms"),
-                            timeout.toNanos(),
+                            () ->
+                                    timeOut(
+                                            "no response within "
+                                                    + call.timeout().toMillis()
+                                                    + " ms"),
+                            call.timeout().toNanos(),
                             TimeUnit.NANOSECONDS);
-            mContext.writeAndFlush(request);
+            mContext.writeAndFlush(call.request());
         }
 
         @Override
--- a/gateway/src/main/java/org/sesamedeck/gateway/PlatformAdapter.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PlatformAdapter.java
@@ -1,5 +1,8 @@
 package org.sesamedeck.gateway;
 
+import java.time.Duration;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.platform.ObjectStore;
 import org.sesamedeck.request.ServingConfiguration;
@@ -25,6 +28,17 @@
     /** Returns the client for engine commands. */
     EngineCommandClient engineCommandClient();
 
+    /** Returns the duties that the platform asks for. */
+    Set<Duty> duties();
+
+    /**
+     * Returns a client of the platform's API of duties; only where the platform asks for some.
+     *
+     * @param isUsable whether a call may still be sent on a right
+     * @param timeout time after which a call is abandoned
+     */
+    DutyClient dutyClient(Predicate<DutyRight> isUsable, Duration timeout);
+
     /** Returns the path of the platform's readiness check. */
     String readinessPath();
 }
