Usage of client accounts, counted by all hosts and reported by the holder

A stream begins with its first event; a plain request with its response, or when a call that was sent is lost.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -6,10 +6,12 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.Setting;
 import org.sesamedeck.core.Settings;
+import org.sesamedeck.gateway.duty.DutyService;
 import org.sesamedeck.request.Decision;
 import org.sesamedeck.request.LogEntry;
 import org.sesamedeck.request.RequestHandler;
@@ -57,6 +59,7 @@
     private final RoleAdvisor mRoleAdvisor;
     private final RoleCoordinator mRoleCoordinator;
     private final PeerExchange mPeerExchange;
+    private final Optional<DutyService> mDuties;
     private List<EndpointDescription> mKnownEndpoints = List.of();
     private volatile boolean mIsConfigured;
     private volatile boolean mHasEndpoints;
@@ -98,6 +101,7 @@
                         settings.get(GatewaySettings.PEERS),
                         new SecureRandom().nextLong(),
                         this::processCountChanged);
+        mDuties = mPlatform.duties().isEmpty() ? Optional.empty() : Optional.of(duties(name));
         mRequestHandler =
                 RequestHandler.create(
                         clock,
@@ -107,7 +111,7 @@
                         requestSettings(settings),
                         mRoleAdvisor,
                         mQuarantine,
-                        UsageObserver.NONE);
+                        mDuties.map(DutyService::usageObserver).orElse(UsageObserver.NONE));
         HeaderCodec headerCodec = mPlatform.headerCodec();
         mEndpointClient = EndpointClient.create(mTrafficLoop, clock, headerCodec);
         mCallerServer =
@@ -121,6 +125,20 @@
                         clock, EventLoopTimers.of(mControlLoop), mLog, this::endpointsChanged);
     }
 
+    private DutyService duties(String name) {
+        DutyService.Environment environment =
+                new DutyService.Environment(
+                        mClock,
+                        EventLoopTimers.of(mControlLoop),
+                        mPlatform.objects(),
+                        mPeerExchange,
+                        mLog,
+                        mPlatform.duties(),
+                        name,
+                        new SecureRandom().nextLong());
+        return DutyService.create(environment, mSettings, mPlatform::dutyClient);
+    }
+
     private static EventLoop newEventLoop() {
         return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
@@ -189,6 +207,7 @@
                             ~seed);
                     registration.start();
                     follow(mPlatform.peers(), mPeerExchange, WatchPace.SLOW, seed + 1);
+                    mDuties.ifPresent(DutyService::start);
                 });
         mTrafficLoop.scheduleAtFixedRate(
                 mRoleAdvisor::check,
@@ -281,6 +300,7 @@
         text.value("sesamedeck_endpoint_connections_total", mEndpointClient.connectionsOpened());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
+        mDuties.ifPresent(duties -> duties.write(text));
         return text.toString();
     }
 
@@ -301,6 +321,7 @@
         }
         mIsStopping = true;
         mLog.record(entry(Decision.STOPPING).with("active", mRequestHandler.activeRequests()));
+        mControlLoop.execute(() -> mDuties.ifPresent(DutyService::stop));
         mTrafficLoop.execute(
                 () ->
                         GracefulShutdown.of(
@@ -315,8 +336,12 @@
     private void finishShutdown(Runnable onStopped) {
         mLog.record(entry(Decision.STOPPED).with("active", mRequestHandler.activeRequests()));
         mCallerServer.close();
-        mJsonLog.close();
-        onStopped.run();
+        mControlLoop.execute(
+                () -> {
+                    mDuties.ifPresent(DutyService::flush);
+                    mJsonLog.close();
+                    onStopped.run();
+                });
     }
 
     private LogEntry entry(Decision decision) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -27,6 +27,8 @@
 import java.util.function.IntConsumer;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.HostAddress;
+import org.sesamedeck.gateway.duty.DutyMessageCodec;
+import org.sesamedeck.gateway.duty.DutyTransport;
 import org.sesamedeck.routing.LoadExchange;
 import org.sesamedeck.routing.LoadMessage;
 import org.sesamedeck.routing.OutgoingLoad;
@@ -42,7 +44,8 @@
  * prefix updates are not sent again; correctness does not depend on delivery. Confined to one event
  * loop.
  */
-final class PeerExchange implements FeedFollower.Listener<HostAddress>, AutoCloseable {
+final class PeerExchange
+        implements FeedFollower.Listener<HostAddress>, DutyTransport, AutoCloseable {
     /** The router's error grows with the age of the load data. */
     private static final Duration MESH_INTERVAL = Duration.ofMillis(100);
 
@@ -65,6 +68,7 @@
     private final PartQuarantine mQuarantine;
     private final Random mRandom;
     private final Map<String, InetSocketAddress> mPeers = new HashMap<>();
+    private Optional<DutyTransport.Listener> mDutyListener = Optional.empty();
     private Channel mChannel;
 
     /**
@@ -146,6 +150,17 @@
         }
     }
 
+    @Override
+    public void setDutyListener(DutyTransport.Listener listener) {
+        mDutyListener = Optional.of(listener);
+    }
+
+    @Override
+    public void sendDutyMessage(byte[] bytes, Collection<String> recipients) {
+        send(bytes, recipients);
+        mChannel.flush();
+    }
+
     @Override
     public void listed(List<Feed.Item<HostAddress>> items) {
         mPeers.clear();
@@ -165,6 +180,7 @@
         List<String> names = namesByAddress();
         mExchange.updateProcesses(names);
         mQuarantine.updateProcesses(names);
+        mDutyListener.ifPresent(listener -> listener.processesChanged(names));
         mProcessCountListener.accept(mPeers.size() + 1);
     }
 
@@ -201,6 +217,10 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             byte[] bytes = ByteBufUtil.getBytes(packet.content());
+            if (DutyMessageCodec.isDutyMessage(bytes)) {
+                mDutyListener.ifPresent(listener -> listener.received(bytes));
+                return;
+            }
             Optional<LoadMessage> load = LoadMessageCodec.decode(bytes);
             if (load.isPresent()) {
                 load.get().prefixUpdates().forEach(mRouter::applyPrefixUpdate);
--- a/request/src/main/java/org/sesamedeck/request/AcceptedRequest.java
+++ b/request/src/main/java/org/sesamedeck/request/AcceptedRequest.java
@@ -7,6 +7,7 @@
  *
  * @param route route of the request
  * @param access whether the request may still run, and for which client account
+ * @param usage is told when the request begins to run
  * @param service service that serves the request
  * @param profile properties that the router uses
  * @param configurationVersion version of the configuration
@@ -14,6 +15,7 @@
 record AcceptedRequest(
         Route route,
         RequestAccess access,
+        RequestUsage usage,
         String service,
         RequestProfile profile,
         long configurationVersion) {}
--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -38,6 +38,7 @@
     private final RequestPhase mPhase;
     private final boolean mExpectsStream;
     private final PromptPartGuard mPromptParts;
+    private final RequestUsage mUsage;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final EventStreamParser mEvents = new EventStreamParser();
     private Optional<EndpointCall> mCall = Optional.empty();
@@ -56,13 +57,15 @@
             Assignment assignment,
             RequestPhase phase,
             boolean expectsStream,
-            PromptPartGuard promptParts) {
+            PromptPartGuard promptParts,
+            RequestUsage usage) {
         mHandler = handler;
         mLifecycle = lifecycle;
         mAssignment = assignment;
         mPhase = phase;
         mExpectsStream = expectsStream;
         mPromptParts = promptParts;
+        mUsage = usage;
         mSentNanos = now();
     }
 
@@ -126,6 +129,9 @@
         }
         mHead = Optional.of(head);
         mPromptParts.responded(endpoint().name(), mSentNanos);
+        if (!head.notRun()) {
+            plainRequestBegan();
+        }
         head.load().ifPresent(load -> mHandler.router().reportLoad(endpoint().name(), load));
     }
 
@@ -157,6 +163,7 @@
                 mHasEvents = true;
                 mFirstEventNanos = now();
                 mAssignment.firstToken();
+                mUsage.began();
             }
             reportLongAnswer();
             measureTokenInterval(events.size());
@@ -283,12 +290,23 @@
     /** Ends the call as lost and cancels it, in case the endpoint is still processing it. */
     void endAsLost(String cause) {
         end();
+        plainRequestBegan();
         mCall.ifPresent(EndpointCall::cancel);
         mAssignment.failed(Optional.empty());
         mAssignment.close();
         mLifecycle.attemptFailed(this, AttemptOutcome.LOST, cause);
     }
 
+    /**
+     * Counts a request without a stream, whose begin nothing shows. One whose answer is lost has
+     * most likely run; a stream has begun when its first event arrives.
+     */
+    private void plainRequestBegan() {
+        if (!mExpectsStream && mPhase != RequestPhase.PREFILL) {
+            mUsage.began();
+        }
+    }
+
     /** Ends the call; the memory of its body counts no longer, since it is passed on at once. */
     private void end() {
         mIsOver = true;
--- a/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
+++ b/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
@@ -30,7 +30,8 @@
                 assignment,
                 phase,
                 mAccepted.route().kind().isStream() && phase != RequestPhase.PREFILL,
-                promptParts);
+                promptParts,
+                mAccepted.usage());
     }
 
     CallOptions options(
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -195,7 +195,13 @@
         mEnginePriorities.record(route.get(), request.promptTokens());
         retryBudget(service).recordRequest();
         AcceptedRequest accepted =
-                new AcceptedRequest(route.get(), access, service, profile, configuration.version());
+                new AcceptedRequest(
+                        route.get(),
+                        access,
+                        new RequestUsage(mUsageObserver, access),
+                        service,
+                        profile,
+                        configuration.version());
         RequestLifecycle lifecycle =
                 RequestLifecycle.of(this, request, Optional.of(accepted), port);
         mActiveRequests.add(lifecycle);
--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -38,6 +38,7 @@
     private final DefaultRouter mRouter;
     private final RequestHandler mHandler;
     private final List<RequestTrace> mTraces = new ArrayList<>();
+    private final List<String> mBegun = new ArrayList<>();
     private final Map<String, EndpointLoad> mPeerLoads = new HashMap<>();
     private int mRequests;
 
@@ -91,7 +92,7 @@
                                 1 << 20),
                         phases,
                         PartQuarantine.create(mClock, "node", QuarantineListener.ignoring()),
-                        UsageObserver.NONE);
+                        mBegun::add);
         mRouter.updateEndpoints(endpoints());
     }
 
@@ -229,6 +230,11 @@
         return mTraces.get(mTraces.size() - 1);
     }
 
+    /** Returns the accounts whose requests began to run, once for each request. */
+    List<String> begun() {
+        return mBegun;
+    }
+
     static ResponseHead head(int status) {
         return new ResponseHead(status, false, false, true, false, Optional.empty(), "head");
     }
