Signs in the answers of endpoints: leaving and Retry-After

Cause: the gateway read neither Server-Leaving nor the Retry-After of a server's 503. A leaving server that the store still listed as ready got requests until its entry changed, and a server that had asked for no requests for 3 s was probed by the circuit breaker after 40 ms (plain) or 400 ms (engine). Callers saw refusals, cut answers and late answers.

The adapter decodes both once (SignDecoder) into EndpointSigns of the response head; EndpointExclusions of routing decides. Leaving holds for the process, told by name, address and start (born), until another process has its name, also while the entry is missing. A hold is the whole time that was asked for plus a random part, whatever the breaker allows. A request that waits for its connection, commands to engines and their status requests are covered as well. When all endpoints of a service hold off, requests are refused at once with the time of the first one's return instead of waiting for decode capacity.

Router.markLeaving keeps its expiry: it belongs to the entry program, whose engines may cancel a drain.

Tests: EndpointSignsTest (routing, request), SignDecoderTest, EndpointSignsHttpTest on real sockets.

--- a/gateway/src/main/java/org/sesamedeck/gateway/CallListenerAdapter.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallListenerAdapter.java
@@ -15,6 +15,11 @@
         mListener = listener;
     }
 
+    @Override
+    public boolean maySend() {
+        return mListener.maySend();
+    }
+
     @Override
     public void notSent(String cause) {
         mListener.notSent(cause);
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -84,7 +84,11 @@
         mRoleAdvisor = new RoleAdvisor(clock, mLog, this::roleDesired);
         mRoleCoordinator =
                 RoleCoordinator.create(
-                        clock, mPlatform.objects(), mPlatform.engineCommandClient(), mLog, name);
+                        clock,
+                        mPlatform.objects(),
+                        new GuardedCommandClient(mPlatform.engineCommandClient(), mRouter::accepts),
+                        mLog,
+                        name);
         mQuarantine =
                 PartQuarantine.create(
                         clock, name, new QuarantineLog(clock, mLog, this::quarantineChanged));
@@ -248,6 +252,9 @@
                 mKnownEndpoints.stream()
                         .filter(endpoint -> endpoint.isEngine())
                         .filter(endpoint -> endpoint.service().equals(service))
+                        .map(
+                                endpoint ->
+                                        mRouter.accepts(endpoint) ? endpoint : endpoint.asLeaving())
                         .toList();
         mControlLoop.execute(() -> mRoleCoordinator.requestRole(service, role, engines));
     }
@@ -279,6 +286,8 @@
         text.value("sesamedeck_requests_active", mRequestHandler.activeRequests());
         text.value("sesamedeck_caller_connections", mCallerServer.connections());
         text.value("sesamedeck_endpoint_connections_total", mEndpointClient.connectionsOpened());
+        text.value("sesamedeck_endpoints_stated_leaving", mRouter.statedLeavingEndpoints());
+        text.value("sesamedeck_endpoints_held_off", mRouter.heldEndpoints());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
         return text.toString();
--- a/gateway/src/main/java/org/sesamedeck/gateway/HttpEndpointCall.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/HttpEndpointCall.java
@@ -31,6 +31,11 @@
      * undecoded heads.
      */
     interface Listener {
+        /** Returns whether the request may still be sent. */
+        default boolean maySend() {
+            return true;
+        }
+
         /** The request was not sent: no byte of it was written. */
         void notSent(String cause);
 
@@ -67,8 +72,14 @@
         mChannel = channel;
     }
 
-    /** Returns the request for writing and counts it as sent; null if the call was cancelled. */
+    /**
+     * Returns the request for writing and counts it as sent; null if the call was cancelled or the
+     * endpoint must receive no requests any more.
+     */
     FullHttpRequest takeRequest(Channel channel) {
+        if (!mIsFinished && !mListener.maySend()) {
+            notSent("the endpoint wants no requests");
+        }
         if (mIsFinished) {
             return null;
         }
--- a/gateway/src/test/java/org/sesamedeck/gateway/PlainHeaderCodec.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/PlainHeaderCodec.java
@@ -13,6 +13,7 @@
 import org.sesamedeck.request.ProcessedPrompt;
 import org.sesamedeck.request.ResponseHead;
 import org.sesamedeck.routing.EndpointDescription;
+import org.sesamedeck.routing.EndpointSigns;
 
 /**
  * A minimal header codec with a request identifier, which also serves as the signature of a
@@ -62,10 +63,20 @@
                 false,
                 namesRequest(response, requestIdentifier),
                 ResponseFraming.endsWithConnection(response),
-                Optional.empty(),
+                signs(response),
                 response);
     }
 
+    /** Decodes the header "Leaving", and the retry-after delay of a 503 in milliseconds. */
+    private static EndpointSigns signs(HttpResponse response) {
+        boolean isRefusal = response.status().code() == 503;
+        Integer millis = response.headers().getInt("Retry-After-Millis");
+        return new EndpointSigns(
+                response.headers().contains("Leaving"),
+                Optional.ofNullable(isRefusal ? millis : null).map(Duration::ofMillis),
+                Optional.empty());
+    }
+
     @Override
     public HttpHeaders callerHeaders(HttpResponse response) {
         HttpHeaders headers = new DefaultHttpHeaders();
--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -38,6 +38,7 @@
     private final RequestPhase mPhase;
     private final boolean mExpectsStream;
     private final PromptPartGuard mPromptParts;
+    private final EndpointSignRecorder mSigns;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final EventStreamParser mEvents = new EventStreamParser();
     private Optional<EndpointCall> mCall = Optional.empty();
@@ -56,13 +57,15 @@
             Assignment assignment,
             RequestPhase phase,
             boolean expectsStream,
-            PromptPartGuard promptParts) {
+            PromptPartGuard promptParts,
+            EndpointSignRecorder signs) {
         mHandler = handler;
         mLifecycle = lifecycle;
         mAssignment = assignment;
         mPhase = phase;
         mExpectsStream = expectsStream;
         mPromptParts = promptParts;
+        mSigns = signs;
         mSentNanos = now();
     }
 
@@ -109,11 +112,18 @@
         return isUnsent || mPhase == RequestPhase.PREFILL;
     }
 
+    @Override
+    public boolean maySend() {
+        return mHandler.router().accepts(endpoint());
+    }
+
     @Override
     public void notSent(String cause) {
         if (!mIsOver) {
             end();
-            mAssignment.failed(Optional.of(UNREACHABLE_BACKOFF));
+            if (maySend()) {
+                mAssignment.failed(Optional.of(UNREACHABLE_BACKOFF));
+            }
             mAssignment.close();
             mLifecycle.attemptFailed(this, AttemptOutcome.NOT_SENT, cause);
         }
@@ -126,7 +136,7 @@
         }
         mHead = Optional.of(head);
         mPromptParts.responded(endpoint().name(), mSentNanos);
-        head.load().ifPresent(load -> mHandler.router().reportLoad(endpoint().name(), load));
+        mSigns.received(endpoint(), head);
     }
 
     @Override
--- a/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
+++ b/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
@@ -34,7 +34,8 @@
                 assignment,
                 phase,
                 mRoute.kind().isStream() && phase != RequestPhase.PREFILL,
-                promptParts);
+                promptParts,
+                new EndpointSignRecorder(mHandler, mRequest.identifier()));
     }
 
     CallOptions options(
--- a/request/src/main/java/org/sesamedeck/request/CallListener.java
+++ b/request/src/main/java/org/sesamedeck/request/CallListener.java
@@ -2,6 +2,14 @@
 
 /** Receives the events of a call to an endpoint, on the thread that made the call. */
 public interface CallListener {
+    /**
+     * Returns whether the request may still be sent; asked when the connection is established. The
+     * call ends as not sent otherwise.
+     */
+    default boolean maySend() {
+        return true;
+    }
+
     /** No byte of the request was sent, so it cannot have run. Last event of the call. */
     void notSent(String cause);
 
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -219,6 +219,19 @@
         return Optional.of(mSettings.retryAfter());
     }
 
+    /**
+     * Returns the retry-after delay for a request that no endpoint takes: it does not end before
+     * the first endpoint is usable, if that is known.
+     *
+     * @param profile empty when no route matched
+     */
+    Optional<Duration> retryAfter(Optional<RequestProfile> profile, CallerRequest request) {
+        return profile.flatMap(mRouter::timeUntilUsable)
+                .filter(wait -> wait.compareTo(mSettings.retryAfter()) > 0)
+                .map(wait -> RetryAfterDelay.notBefore(wait, request.identifier()))
+                .or(this::defaultRetryAfter);
+    }
+
     /** Returns the retry-after delay for a request that waited for decode capacity in vain. */
     Optional<Duration> overloadRetryAfter(String service, int priority, String identifier) {
         return requestQueue(service).retryAfter(priority, mSettings.retryAfter(), identifier);
@@ -234,6 +247,11 @@
         mLog.requestEnded(trace);
     }
 
+    /** Logs a decision that concerns no single request. */
+    void record(LogEntry entry) {
+        mLog.record(entry);
+    }
+
     PartQuarantine quarantine() {
         return mQuarantine;
     }
--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -242,14 +242,13 @@
         mProcessedPrompt = Optional.empty();
         mHistory.failureReceived(attempt.endpoint().name());
         mLog.failureReceived(attempt, head.status());
-        boolean isServerFailure = head.status() >= 500;
         NextStep step =
                 RetryPolicy.decide(
                         kind(),
                         AttemptOutcome.FAILURE_ANSWERED,
                         true,
                         mStream.isStarted(),
-                        isServerFailure && kind().isRepeatable() && mayRetry());
+                        head.status() >= 500 && kind().isRepeatable() && mayRetry());
         if (step == NextStep.RELAY_FAILURE && !RetryPolicy.impliesNotRun(head.status())) {
             mPort.respond(head, body);
             mLog.completed(attempt, head.status(), now() - mArrivedNanos);
@@ -350,7 +349,8 @@
                 mLog.retried(mStream.isStarted(), outcome, mHistory.runs());
                 dispatch();
             }
-            case REFUSE -> refuse(ResultCode.OVERLOADED, cause, mHandler.defaultRetryAfter());
+            case REFUSE ->
+                    refuse(ResultCode.OVERLOADED, cause, mHandler.retryAfter(mProfile, mRequest));
             case ABORT_STREAM -> abortStream(cause);
             default -> fail(cause);
         }
--- a/request/src/main/java/org/sesamedeck/request/ResponseHead.java
+++ b/request/src/main/java/org/sesamedeck/request/ResponseHead.java
@@ -1,7 +1,6 @@
 package org.sesamedeck.request;
 
-import java.util.Optional;
-import org.sesamedeck.routing.LoadReport;
+import org.sesamedeck.routing.EndpointSigns;
 
 /**
  * The status and headers of an endpoint's response.
@@ -12,7 +11,7 @@
  * @param signed whether the response carries the signature that each endpoint puts on its responses
  * @param endsWithConnection whether only the end of the connection shows the end of the body, so
  *     that the end of the endpoint looks the same
- * @param load load that the endpoint reported with the response
+ * @param signs what the endpoint states about itself
  * @param transportHead head in the transport's own representation, for relaying
  */
 public record ResponseHead(
@@ -21,7 +20,7 @@
         boolean wrongEndpoint,
         boolean signed,
         boolean endsWithConnection,
-        Optional<LoadReport> load,
+        EndpointSigns signs,
         Object transportHead) {
     /** Returns whether the status is a success. */
     public boolean isSuccess() {
--- a/request/src/main/java/org/sesamedeck/request/RetryAfterDelay.java
+++ b/request/src/main/java/org/sesamedeck/request/RetryAfterDelay.java
@@ -31,9 +31,23 @@
     static Duration of(Duration minimum, Duration queueWait, String identifier) {
         Duration wait = queueWait.compareTo(minimum) > 0 ? queueWait : minimum;
         wait = wait.compareTo(MAX_DELAY) > 0 ? MAX_DELAY : wait;
-        double position =
-                Math.floorMod(identifier.hashCode(), JITTER_STEPS) / (double) JITTER_STEPS;
-        double factor = 1 + JITTER_RANGE * (position - 0.5);
+        double factor = 1 + JITTER_RANGE * (position(identifier) - 0.5);
         return Duration.ofNanos((long) (wait.toNanos() * factor));
     }
+
+    /**
+     * Returns a delay after which an endpoint is usable: at least the given time, which is not
+     * capped, since an earlier repetition would be refused again.
+     *
+     * @param wait time until an endpoint is usable
+     * @param identifier identifier of the request; equal identifiers give equal delays
+     */
+    static Duration notBefore(Duration wait, String identifier) {
+        double factor = 1 + JITTER_RANGE / 2 * position(identifier);
+        return Duration.ofNanos((long) (wait.toNanos() * factor));
+    }
+
+    private static double position(String identifier) {
+        return Math.floorMod(identifier.hashCode(), JITTER_STEPS) / (double) JITTER_STEPS;
+    }
 }
--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -16,6 +16,7 @@
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.EndpointLoad;
 import org.sesamedeck.routing.EndpointRole;
+import org.sesamedeck.routing.EndpointSigns;
 import org.sesamedeck.routing.EngineTraits;
 import org.sesamedeck.routing.RouterSettings;
 import org.sesamedeck.routing.quarantine.PartQuarantine;
@@ -203,19 +204,19 @@
     }
 
     static ResponseHead head(int status) {
-        return new ResponseHead(status, false, false, true, false, Optional.empty(), "head");
+        return new ResponseHead(status, false, false, true, false, EndpointSigns.none(), "head");
     }
 
     static ResponseHead endingWithConnection(int status) {
-        return new ResponseHead(status, false, false, true, true, Optional.empty(), "head");
+        return new ResponseHead(status, false, false, true, true, EndpointSigns.none(), "head");
     }
 
     static ResponseHead unsigned(int status) {
-        return new ResponseHead(status, false, false, false, false, Optional.empty(), "head");
+        return new ResponseHead(status, false, false, false, false, EndpointSigns.none(), "head");
     }
 
     static ResponseHead notRun() {
-        return new ResponseHead(503, true, false, false, false, Optional.empty(), "head");
+        return new ResponseHead(503, true, false, false, false, EndpointSigns.none(), "head");
     }
 
     static byte[] event(long identifier) {
--- a/routing/src/main/java/org/sesamedeck/routing/CircuitBreaker.java
+++ b/routing/src/main/java/org/sesamedeck/routing/CircuitBreaker.java
@@ -52,6 +52,11 @@
         }
     }
 
+    /** Returns the time until a probe is allowed, in nanoseconds; 0 when the breaker is closed. */
+    synchronized long nanosUntilProbe() {
+        return mOpen ? Math.max(0, mOpenUntilNanos - mClock.nanoTime()) : 0;
+    }
+
     /**
      * Acquires permission to send a request. While the breaker is open, the permission is for the
      * single probe, which must end with one of the outcome methods.
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -41,6 +42,7 @@
     private final SplittableRandom mRandom;
     private final PrefixIndex mPrefixes = PrefixIndex.create(PREFIX_CAPACITY);
     private final PrefixUpdateBuffer mPrefixUpdates = new PrefixUpdateBuffer();
+    private final EndpointExclusions mExclusions;
     private volatile int mProcesses = 1;
     private volatile EndpointTable mTable = EndpointTable.empty();
 
@@ -55,6 +57,9 @@
         mSettings = settings;
         mSubset = RendezvousSubset.of(name, settings);
         mRandom = new SplittableRandom(seed);
+        mExclusions =
+                new EndpointExclusions(
+                        clock, settings.traits().rolesAreStrict(), mRandom.nextLong());
     }
 
     /**
@@ -171,6 +176,10 @@
         if (mSettings.traits().tokenIntervalLimitNanos() <= 0 || !profile.isModelRequest()) {
             return DecodeCapacity.unlimited();
         }
+        if (mExclusions.areAllHeld(mTable.candidates(profile.target()))) {
+            // The requests are refused at once instead of being queued.
+            return DecodeCapacity.unlimited();
+        }
         double capacity = 0;
         double inProgress = 0;
         for (EndpointState state : mTable.candidates(profile.target()).all()) {
@@ -197,8 +206,16 @@
     }
 
     private EndpointState stateOf(EndpointState known, EndpointDescription endpoint) {
-        if (known == null || !known.description().address().equals(endpoint.address())) {
-            return new EndpointState(mClock, mSettings, endpoint);
+        boolean hasStatedLeaving = mExclusions.hasStatedLeaving(endpoint);
+        if (known == null || !known.description().isSameProcess(endpoint)) {
+            if (known != null) {
+                mPrefixes.removeEndpoint(endpoint.name());
+            }
+            EndpointState state = new EndpointState(mClock, mSettings, endpoint);
+            if (hasStatedLeaving) {
+                state.statedLeaving();
+            }
+            return state;
         }
         if (known.description().role() != endpoint.role()) {
             mPrefixes.removeEndpoint(endpoint.name());
@@ -220,6 +237,39 @@
         }
     }
 
+    @Override
+    public synchronized Optional<EndpointExclusion> applySigns(
+            EndpointDescription endpoint, EndpointSigns signs) {
+        signs.load().ifPresent(load -> reportLoad(endpoint.name(), load));
+        return mExclusions.apply(endpoint, state(endpoint), signs);
+    }
+
+    private Optional<EndpointState> state(EndpointDescription endpoint) {
+        return Optional.ofNullable(mTable.state(endpoint.name()));
+    }
+
+    @Override
+    public boolean accepts(EndpointDescription endpoint) {
+        return mExclusions.accepts(endpoint, state(endpoint));
+    }
+
+    @Override
+    public Optional<Duration> timeUntilUsable(RequestProfile profile) {
+        return mExclusions.timeUntilUsable(mTable.candidates(profile.target()));
+    }
+
+    /** Returns the number of listed endpoints that have stated that they are leaving. */
+    public long statedLeavingEndpoints() {
+        return mTable.states().values().stream()
+                .filter(state -> mExclusions.hasStatedLeaving(state.description()))
+                .count();
+    }
+
+    /** Returns the number of endpoints that have asked for no requests and are held off now. */
+    public long heldEndpoints() {
+        return mTable.states().values().stream().filter(EndpointState::isHeld).count();
+    }
+
     @Override
     public List<EndpointLoad> ownLoad() {
         List<EndpointLoad> loads = new ArrayList<>();
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -40,6 +40,9 @@
     private volatile EndpointDescription mDescription;
     private volatile boolean mMarkedLeaving;
     private volatile long mMarkedAtNanos;
+    private volatile boolean mStatedLeaving;
+    private volatile boolean mIsHeld;
+    private volatile long mHeldUntilNanos;
     private boolean mHasReport;
     private long mReportedAtNanos;
     private double mReportedPromptNanos;
@@ -102,12 +105,42 @@
         mMarkedLeaving = false;
     }
 
+    /** Records that this process of the endpoint has stated that it leaves, which is final. */
+    void statedLeaving() {
+        mStatedLeaving = true;
+    }
+
     boolean isLeaving() {
-        return mMarkedLeaving || mDescription.isLeaving();
+        return mStatedLeaving || mMarkedLeaving || mDescription.isLeaving();
+    }
+
+    /**
+     * Sends the endpoint nothing, not even a probe of the circuit breaker, until the given time. An
+     * earlier end than that of the current hold is ignored, since both were asked for.
+     *
+     * @return whether the hold is new or ends later than before
+     */
+    synchronized boolean holdUntil(long untilNanos) {
+        if (isHeld() && untilNanos - mHeldUntilNanos <= 0) {
+            return false;
+        }
+        mHeldUntilNanos = untilNanos;
+        mIsHeld = true;
+        return true;
+    }
+
+    boolean isHeld() {
+        return mIsHeld && mClock.nanoTime() - mHeldUntilNanos < 0;
+    }
+
+    /** Returns the time until a request may be sent; 0 when it may be sent now or is unknown. */
+    long nanosUntilUsable() {
+        long held = isHeld() ? mHeldUntilNanos - mClock.nanoTime() : 0;
+        return Math.max(0, Math.max(held, mBreaker.nanosUntilProbe()));
     }
 
     boolean isUsable() {
-        return !isLeaving() && !mDescription.isChanging() && mBreaker.allows();
+        return !isLeaving() && !mDescription.isChanging() && !isHeld() && mBreaker.allows();
     }
 
     synchronized void report(LoadReport report) {
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.routing;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -69,6 +70,32 @@
     /** Records a load report, whether polled or piggybacked on a response. */
     void reportLoad(String endpoint, LoadReport report);
 
+    /**
+     * Applies what an endpoint stated about itself in the head of a response.
+     *
+     * @param endpoint the endpoint as it was described when the request was sent
+     * @return the exclusion of the endpoint, if it is new or lasts longer than before
+     */
+    default Optional<EndpointExclusion> applySigns(
+            EndpointDescription endpoint, EndpointSigns signs) {
+        signs.load().ifPresent(load -> reportLoad(endpoint.name(), load));
+        return Optional.empty();
+    }
+
+    /** Returns whether no statement of the endpoint excludes it from new requests. */
+    default boolean accepts(EndpointDescription endpoint) {
+        return true;
+    }
+
+    /**
+     * Returns the time until some endpoint that now refuses requests takes one again.
+     *
+     * @return empty if an endpoint is usable, or if no endpoint has said or shown when it will be
+     */
+    default Optional<Duration> timeUntilUsable(RequestProfile profile) {
+        return Optional.empty();
+    }
+
     /** Returns the load from this process at each endpoint that has any. */
     default List<EndpointLoad> ownLoad() {
         return List.of();
