--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -39,6 +39,7 @@
     private final boolean mExpectsStream;
     private final PromptPartGuard mPromptParts;
     private final RequestUsage mUsage;
+    private final EndpointSignRecorder mSigns;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final EventStreamParser mEvents = new EventStreamParser();
     private Optional<EndpointCall> mCall = Optional.empty();
@@ -58,7 +59,8 @@
             RequestPhase phase,
             boolean expectsStream,
             PromptPartGuard promptParts,
-            RequestUsage usage) {
+            RequestUsage usage,
+            EndpointSignRecorder signs) {
         mHandler = handler;
         mLifecycle = lifecycle;
         mAssignment = assignment;
@@ -66,6 +68,7 @@
         mExpectsStream = expectsStream;
         mPromptParts = promptParts;
         mUsage = usage;
+        mSigns = signs;
         mSentNanos = now();
     }
 
@@ -112,11 +115,18 @@
         return isUnsent || mPhase == RequestPhase.PREFILL;
     }
 
+    @Override
+    public boolean maySend() {
+        return mHandler.router().accepts(endpoint());
+    }
+
     @Override
     public void notSent(String cause) {
         if (!mIsOver) {
             end();
-            mAssignment.failed(Optional.of(UNREACHABLE_BACKOFF));
+            if (maySend()) {
+                mAssignment.failed(Optional.of(UNREACHABLE_BACKOFF));
+            }
             mAssignment.close();
             mLifecycle.attemptFailed(this, AttemptOutcome.NOT_SENT, cause);
         }
@@ -132,7 +142,7 @@
         if (!head.notRun()) {
             plainRequestBegan();
         }
-        head.load().ifPresent(load -> mHandler.router().reportLoad(endpoint().name(), load));
+        mSigns.received(endpoint(), head);
     }
 
     @Override
--- a/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
+++ b/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
@@ -31,7 +31,8 @@
                 phase,
                 mAccepted.route().kind().isStream() && phase != RequestPhase.PREFILL,
                 promptParts,
-                mAccepted.usage());
+                mAccepted.usage(),
+                new EndpointSignRecorder(mHandler, mRequest.identifier()));
     }
 
     CallOptions options(
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -260,6 +260,17 @@
         return Optional.of(mSettings.retryAfter());
     }
 
+    /**
+     * Returns the retry-after delay for a request that no endpoint takes: it does not end before
+     * the first endpoint is usable, if that is known.
+     */
+    Optional<Duration> retryAfter(AcceptedRequest accepted, CallerRequest request) {
+        return mRouter.timeUntilUsable(accepted.profile())
+                .filter(wait -> wait.compareTo(mSettings.retryAfter()) > 0)
+                .map(wait -> RetryAfterDelay.notBefore(wait, request.identifier()))
+                .or(this::defaultRetryAfter);
+    }
+
     /** Returns the retry-after delay for a request that waited for decode capacity in vain. */
     Optional<Duration> overloadRetryAfter(AcceptedRequest request, String identifier) {
         return requestQueue(request.service())
@@ -276,6 +287,11 @@
         mLog.requestEnded(trace);
     }
 
+    /** Logs a decision that concerns no single request. */
+    void record(LogEntry entry) {
+        mLog.record(entry);
+    }
+
     PartQuarantine quarantine() {
         return mQuarantine;
     }
