Responses go on in the region of their processed prompt

Cause, from the decision log of two hosts: the prompt was processed within 80 to 250 ms, then the response waited 0.5 to 1 s at the next engine for the KV cache, while whole requests at the same engine began within 60 to 130 ms. The engine for the response was chosen by the region of the deciding host; a transfer between regions takes ten times as long, and transfers of one engine run one after another, so that all responses waited behind them.

The response now goes to an engine in the region of the processed prompt, and to any other if none there can take it.

--- a/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
+++ b/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
@@ -1,6 +1,9 @@
 package org.sesamedeck.request;
 
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import org.sesamedeck.routing.Assignment;
 import org.sesamedeck.routing.RequestPhase;
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.Router;
@@ -35,11 +38,16 @@
     }
 
     /**
-     * Returns the first phase of a request.
+     * Returns the next phase of a request.
      *
+     * @param prompt the processed prompt, if there is one
      * @param mayPrefill whether a separate prefill is still allowed
      */
-    RequestPhase firstPhase(RequestProfile profile, boolean mayPrefill) {
+    RequestPhase nextPhase(
+            RequestProfile profile, Optional<ProcessedPrompt> prompt, boolean mayPrefill) {
+        if (prompt.isPresent()) {
+            return RequestPhase.DECODE;
+        }
         if (!mIsEnabled || !mayPrefill || !profile.isModelRequest()) {
             return RequestPhase.WHOLE;
         }
@@ -50,6 +58,28 @@
                 : RequestPhase.WHOLE;
     }
 
+    /**
+     * Chooses the endpoint for a phase. A processed prompt is continued in its own region if an
+     * engine there can take it: the KV cache of a long prompt takes many times as long between
+     * regions, and transfers from one engine run one after another, so that each slow transfer
+     * delays all responses behind it.
+     *
+     * @param excluded names of endpoints that already failed this request
+     */
+    Optional<Assignment> choose(
+            RequestProfile profile,
+            RequestPhase phase,
+            Optional<ProcessedPrompt> prompt,
+            Set<String> excluded) {
+        return prompt.flatMap(
+                        processed ->
+                                mRouter.choosePhase(
+                                        profile.inRegion(processed.endpoint().region()),
+                                        phase,
+                                        excluded))
+                .or(() -> mRouter.choosePhase(profile, phase, excluded));
+    }
+
     private boolean prefersSplit(OptionalLong wholeNanos, OptionalLong prefillNanos) {
         if (prefillNanos.isEmpty() || wholeNanos.isEmpty()) {
             return false;
--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -6,6 +6,7 @@
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.routing.Assignment;
 import org.sesamedeck.routing.RequestPhase;
+import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.quarantine.QuarantinedPart;
 
 /**
@@ -126,13 +127,11 @@
         if (refuseIfUnauthenticated() || refuseIfQuarantined()) {
             return;
         }
-        RequestPhase phase =
-                mProcessedPrompt.isPresent()
-                        ? RequestPhase.DECODE
-                        : mHandler.phaseSplit()
-                                .firstPhase(accepted().profile(), mHistory.mayPrefill());
+        RequestProfile profile = accepted().profile();
+        PhaseSplitPolicy policy = mHandler.phaseSplit();
+        RequestPhase phase = policy.nextPhase(profile, mProcessedPrompt, mHistory.mayPrefill());
         Optional<Assignment> chosen =
-                mHandler.router().choosePhase(accepted().profile(), phase, mHistory.excluded());
+                policy.choose(profile, phase, mProcessedPrompt, mHistory.excluded());
         if (chosen.isEmpty()) {
             noEndpointAvailable(phase);
             return;
--- a/routing/src/main/java/org/sesamedeck/routing/RequestProfile.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RequestProfile.java
@@ -54,4 +54,20 @@
                 allowedRegions,
                 deadlineNanos);
     }
+
+    /** Returns this profile restricted to endpoints of one region. */
+    public RequestProfile inRegion(String region) {
+        return new RequestProfile(
+                plan,
+                clientAccount,
+                target,
+                isModelRequest,
+                priority,
+                promptTokens,
+                expectedOutputTokens,
+                prefixHashes,
+                sharedBlocks,
+                Set.of(region),
+                deadlineNanos);
+    }
 }
