Counts are sent only as far as they are news, and kept by the next in line

The first three processes in line read every second and at the time of a takeover, the takeover time is four thirds of the lease, reports that are fixed already are sent without waiting, the holder sends its counts to three processes, and answered counts are not repeated.

--- a/gateway/src/main/java/org/sesamedeck/gateway/duty/DutyService.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/duty/DutyService.java
@@ -36,6 +36,7 @@
     private final UsageReporter mReporter;
     private final UsageExchange mExchange;
     private final Duration mCheckInterval;
+    private final Duration mHandoverTime;
     private final boolean mReportsUsage;
 
     /**
@@ -74,6 +75,7 @@
         Clock clock = environment.clock();
         mTimers = environment.timers();
         mCheckInterval = schedule.checkInterval();
+        mHandoverTime = schedule.handoverTime();
         mReportsUsage = environment.duties().contains(Duty.USAGE);
         mHolder =
                 StoreDutyHolder.create(
@@ -126,16 +128,21 @@
 
     private void check() {
         mExchange.check();
+        report();
+        mTimers.schedule(mCheckInterval, this::check);
+    }
+
+    private void report() {
         if (mReportsUsage) {
             mReporter.check();
         }
-        mTimers.schedule(mCheckInterval, this::check);
     }
 
     private void taken() {
         mReporter.taken();
         mExchange.announce();
         mTimers.schedule(ANNOUNCEMENT_INTERVAL, mExchange::announce);
+        mTimers.schedule(mHandoverTime, this::report);
     }
 
     /** Gives the duties up for good. */
--- a/gateway/src/main/java/org/sesamedeck/gateway/duty/DutyTiming.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/duty/DutyTiming.java
@@ -8,7 +8,7 @@
  *
  * <p>A right ends 0.6 leases after its conditional write was begun, and a call on it is abandoned
  * 0.4 leases after it was begun, so no call of a holder is on its way one lease after its last
- * confirmed write began. A successor waits one and a half leases from when it saw that write.
+ * confirmed write began. A successor waits four thirds of the lease from when it saw that write.
  *
  * @param lease the lease
  */
@@ -32,7 +32,7 @@
      * Returns the time for which a record must stay unchanged before another process takes over.
      */
     public Duration takeoverTime() {
-        return lease.multipliedBy(3).dividedBy(2);
+        return lease.multipliedBy(4).dividedBy(3);
     }
 
     /** Returns the time between two reads of the process that is first in line. */
--- a/gateway/src/main/java/org/sesamedeck/gateway/duty/StoreDutyHolder.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/duty/StoreDutyHolder.java
@@ -36,15 +36,15 @@
  * nothing is written until the object was read again. A late write finds another version and fails,
  * or takes effect before the next write, which then fails and is followed by another read.
  *
- * <p>All processes read the object, in the order of their rank ever more rarely: the process of
- * rank r every r + 1 poll intervals. The calls of the fleet then grow with the logarithm of its
- * size, while any number of processes may be lost. Reads may be stale: the condition of the write
- * decides.
+ * <p>All processes read the object, in the order of their rank ever more rarely: the first three
+ * every poll interval, the process of rank r after them every r - 1 poll intervals. The calls of
+ * the fleet then grow with the logarithm of its size, while any number of processes may be lost.
+ * Reads may be stale: the condition of the write decides.
  */
 public final class StoreDutyHolder implements DutyHolder {
     static final ObjectKey KEY = ObjectKey.of("duties", "fleet");
 
-    /** Only processes of lower ranks read more often when the holder seems to be gone. */
+    /** Processes of lower ranks read most often; one of them is usually the holder. */
     private static final int URGENT_RANKS = 3;
 
     /** Processes of higher ranks wait as long as this one before they take over. */
@@ -249,16 +249,23 @@
     }
 
     private Duration nextDelay() {
-        boolean isSuspicious = mRank < URGENT_RANKS && isUnchangedFor(mTiming.lease());
-        if (mIsInDoubt || (!isHolder() && (isSuspicious || isTakeoverDue()))) {
+        if (mIsInDoubt) {
             return mTiming.retryInterval();
         }
-        if (!isHolder()) {
-            return mTiming.pollInterval().multipliedBy(mRank + 1L);
+        if (isHolder()) {
+            Duration untilWrite = mTiming.confirmInterval().minus(sinceWrite());
+            return atLeast(mTiming.rankDelay(), untilWrite);
         }
-        Duration untilWrite = mTiming.confirmInterval().minus(sinceWrite());
-        Duration minimum = mTiming.rankDelay();
-        return untilWrite.compareTo(minimum) > 0 ? untilWrite : minimum;
+        long places = Math.max(1L, mRank + 2L - URGENT_RANKS);
+        Duration untilRead = mTiming.pollInterval().multipliedBy(places);
+        Duration untilTakeover = takeoverTime().minus(sinceSeen());
+        boolean isFirst =
+                mHasRead && mRank < URGENT_RANKS && untilTakeover.compareTo(untilRead) < 0;
+        return isFirst ? atLeast(mTiming.rankDelay(), untilTakeover) : untilRead;
+    }
+
+    private static Duration atLeast(Duration minimum, Duration time) {
+        return time.compareTo(minimum) > 0 ? time : minimum;
     }
 
     private Duration sinceWrite() {
@@ -298,16 +305,18 @@
     }
 
     private boolean isTakeoverDue() {
-        if (!mHasRead) {
-            return false;
-        }
-        Duration rankDelay = mTiming.rankDelay().multipliedBy(Math.min(mRank, MAX_DELAYED_RANK));
-        boolean isReleased = mRecord.map(DutyRecord::isReleased).orElse(false);
-        return isUnchangedFor(isReleased ? rankDelay : mTiming.takeoverTime().plus(rankDelay));
+        return mHasRead && sinceSeen().compareTo(takeoverTime()) >= 0;
+    }
+
+    private Duration sinceSeen() {
+        return Duration.ofNanos(mClock.nanoTime() - mSeenNanos);
     }
 
-    private boolean isUnchangedFor(Duration time) {
-        return mHasRead && mClock.nanoTime() - mSeenNanos >= time.toNanos();
+    /** Returns the time for which the record must stay unchanged before this process takes over. */
+    private Duration takeoverTime() {
+        Duration rankDelay = mTiming.rankDelay().multipliedBy(Math.min(mRank, MAX_DELAYED_RANK));
+        boolean isReleased = mRecord.map(DutyRecord::isReleased).orElse(false);
+        return isReleased ? rankDelay : mTiming.takeoverTime().plus(rankDelay);
     }
 
     private CompletableFuture<Optional<DutyRight>> takeOver() {
--- a/gateway/src/main/java/org/sesamedeck/gateway/duty/UsageExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/duty/UsageExchange.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.gateway.duty;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -16,13 +17,16 @@
  * <p>Counts of a window are cumulative and repeated until the report of the window is fixed in the
  * store, so messages may be lost or doubled. They are sent from time to time while there are new
  * ones and soon after the end of a window, so a killed process loses what it counted since the last
- * time. The holder sends its own to the process that is next in line, which may succeed it. Each
+ * time. The holder sends its own to those that are next in line, of which one will succeed it. Each
  * message carries the sender's time of day and each reply the holder's estimate of the true time.
  */
 final class UsageExchange implements DutyTransport.Listener {
     /** Processes that are tried in turn while the holder is silent or unknown. */
     private static final int CANDIDATES = 4;
 
+    /** Processes to which the holder sends its own counts, since one of them will succeed it. */
+    private static final int SUCCESSORS = 3;
+
     /** Counts in one datagram; each takes some 15 bytes and a receiver reads 16 KiB at most. */
     private static final int MAX_COUNTS = 500;
 
@@ -40,7 +44,9 @@
     private final Random mRandom;
     private Optional<String> mKnownHolder = Optional.empty();
     private long mKnownFencingNumber;
+    private final SortedMap<Long, SortedMap<String, Long>> mAnswered = new TreeMap<>();
     private SortedMap<Long, SortedMap<String, Long>> mSent = new TreeMap<>();
+    private long mSentMillis;
     private long mNextSendNanos;
     private long mUnansweredSinceNanos;
     private boolean mIsUnanswered;
@@ -81,8 +87,10 @@
     void check() {
         learnFromStore();
         boolean hasStepped = mTime.hasStepped();
-        if (mHolder.isHolder()) {
+        if (isHolder()) {
             mTime.followMedian();
+        }
+        if (mHolder.isHolder()) {
             mCounts.windows()
                     .forEach((window, counts) -> mLedger.receive(mIncarnation, window, counts));
         }
@@ -94,11 +102,17 @@
             mNextSendNanos = Math.min(mNextSendNanos, now + jitter);
         }
         if (hasStepped || now - mNextSendNanos >= 0) {
-            mNextSendNanos = now + mSchedule.sendInterval().toNanos();
             sendCounts(hasStepped);
+            Duration pause = mIsUnanswered ? mSchedule.retryInterval() : mSchedule.sendInterval();
+            mNextSendNanos = now + pause.toNanos();
         }
     }
 
+    /** Returns whether this process is the holder, also by what the others have told. */
+    private boolean isHolder() {
+        return mHolder.isHolder() && mKnownHolder.equals(Optional.of(mSelf));
+    }
+
     /** Sends all counts at once, as at the end of the process. */
     void flush() {
         sendCounts(true);
@@ -107,7 +121,8 @@
     /** Tells all processes that this one is the holder, so that they send to it at once. */
     void announce() {
         learnFromStore();
-        DutyMessage announcement = message(new TreeMap<>(), Optional.empty());
+        DutyMessage announcement =
+                message(new TreeMap<>(), mTime.monotonicMillis(), Optional.empty());
         send(announcement, mRanking.others());
     }
 
@@ -117,6 +132,7 @@
     }
 
     private void fixedThrough(long window) {
+        mAnswered.headMap(window + 1).clear();
         mCounts.fixedThrough(window);
         mLedger.fixedThrough(window);
     }
@@ -129,42 +145,48 @@
         mKnownFencingNumber = fencingNumber;
         mIsUnanswered = false;
         mSent = new TreeMap<>();
+        mAnswered.clear();
         long jitter = mRandom.nextLong(mSchedule.windowEndJitter().toNanos());
         mNextSendNanos = Math.min(mNextSendNanos, mClock.nanoTime() + jitter);
     }
 
     private void sendCounts(boolean isForced) {
         SortedMap<Long, SortedMap<String, Long>> counts = mCounts.windows();
-        boolean isUnchanged = counts.equals(mSent) && !mIsUnanswered;
-        if (!isForced && (counts.isEmpty() || isUnchanged)) {
-            // What was answered is repeated every other time only.
-            mSent = new TreeMap<>();
+        if (!isHolder()) {
+            counts.entrySet()
+                    .removeIf(entry -> entry.getValue().equals(mAnswered.get(entry.getKey())));
+        }
+        if (counts.isEmpty() && !isForced) {
+            mIsUnanswered = false;
             return;
         }
-        mSent = counts;
-        if (!mIsUnanswered) {
+        if (!mIsUnanswered && !isHolder()) {
             mIsUnanswered = true;
             mUnansweredSinceNanos = mClock.nanoTime();
         }
+        mSent = counts;
+        mSentMillis = mTime.monotonicMillis();
         List<String> receivers = receivers();
         SortedMap<Long, SortedMap<String, Long>> part = new TreeMap<>();
         int size = 0;
         for (var window : counts.entrySet()) {
             if (!part.isEmpty() && size + window.getValue().size() > MAX_COUNTS) {
-                send(message(part, Optional.empty()), receivers);
+                // One answer does not stand for several messages: all are sent again.
+                mSent = new TreeMap<>();
+                send(message(part, mSentMillis, Optional.empty()), receivers);
                 part = new TreeMap<>();
                 size = 0;
             }
             part.put(window.getKey(), window.getValue());
             size += window.getValue().size();
         }
-        send(message(part, Optional.empty()), receivers);
+        send(message(part, mSentMillis, Optional.empty()), receivers);
     }
 
     private List<String> receivers() {
         List<String> others = mRanking.others();
-        if (mHolder.isHolder()) {
-            return others.stream().limit(1).toList();
+        if (isHolder()) {
+            return others.stream().limit(SUCCESSORS).toList();
         }
         Optional<String> holder = mKnownHolder.filter(name -> !name.equals(mSelf));
         boolean isSilent =
@@ -183,7 +205,9 @@
     }
 
     private DutyMessage message(
-            SortedMap<Long, SortedMap<String, Long>> windows, Optional<DutyMessage.Reply> reply) {
+            SortedMap<Long, SortedMap<String, Long>> windows,
+            long sentMillis,
+            Optional<DutyMessage.Reply> reply) {
         return new DutyMessage(
                 mSelf,
                 mIncarnation,
@@ -192,7 +216,7 @@
                 mKnownFencingNumber,
                 mReporter.fixedThrough(),
                 windows,
-                mTime.monotonicMillis(),
+                sentMillis,
                 reply);
     }
 
@@ -216,20 +240,25 @@
             replied(message, message.reply().get());
             return;
         }
-        Optional<Long> trueTime =
-                mHolder.isHolder() ? Optional.of(mTime.nowMillis()) : Optional.empty();
+        Optional<Long> trueTime = isHolder() ? Optional.of(mTime.nowMillis()) : Optional.empty();
         send(
                 message(
                         new TreeMap<>(),
+                        mTime.monotonicMillis(),
                         Optional.of(new DutyMessage.Reply(message.sentMillis(), trueTime))),
                 List.of(message.sender()));
     }
 
     private void replied(DutyMessage message, DutyMessage.Reply reply) {
-        if (mKnownHolder.equals(Optional.of(message.sender()))) {
+        boolean isAnswered =
+                mKnownHolder.equals(Optional.of(message.sender()))
+                        && reply.echoMillis() == mSentMillis;
+        if (isAnswered) {
             mIsUnanswered = false;
+            mAnswered.putAll(mSent);
+            mNextSendNanos = mClock.nanoTime() + mSchedule.sendInterval().toNanos();
         }
-        if (!mHolder.isHolder()) {
+        if (!isHolder()) {
             reply.trueTimeMillis().ifPresent(time -> mTime.correct(time, reply.echoMillis()));
         }
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/duty/UsageReporter.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/duty/UsageReporter.java
@@ -101,14 +101,15 @@
     void check() {
         boolean isEarly =
                 mTakenNanos.filter(at -> isWithin(at, mSchedule.handoverTime())).isPresent();
-        if (!mHolder.isHolder() || mIsBusy || isEarly) {
+        if (!mHolder.isHolder() || mIsBusy) {
             return;
         }
         UsageNote note = note();
         note.fixedThrough().ifPresent(mLedger::fixedThrough);
         List<UsageReport> fixed = note.fixedThrough().isPresent() ? due(note) : List.of();
         long through = through(note);
-        if (note.fixedThrough().isEmpty() || through > note.fixedThrough().getAsLong()) {
+        boolean isNew = note.fixedThrough().isEmpty() || through > note.fixedThrough().getAsLong();
+        if (isNew && !isEarly) {
             fix(through, fixed);
         } else if (!unsent(note).isEmpty() && !isBackingOff()) {
             mIsBusy = true;
--- a/gateway/src/main/java/org/sesamedeck/gateway/duty/UsageSchedule.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/duty/UsageSchedule.java
@@ -19,7 +19,7 @@
 
     /** Returns the time that the others have to repeat their counts to a new holder. */
     Duration handoverTime() {
-        return lateness.multipliedBy(15).dividedBy(100);
+        return lateness.multipliedBy(12).dividedBy(100);
     }
 
     /** Returns the end of a window, in milliseconds since 1970. */
@@ -40,9 +40,14 @@
         return lateness.dividedBy(5);
     }
 
+    /** Returns the time after which counts without an answer are sent again. */
+    Duration retryInterval() {
+        return lateness.multipliedBy(7).dividedBy(100);
+    }
+
     /** Returns the time after the end of a window within which its counts are sent. */
     Duration windowEndJitter() {
-        return lateness.multipliedBy(6).dividedBy(100);
+        return lateness.multipliedBy(4).dividedBy(100);
     }
 
     /** Returns the time after which a holder that has not answered is not the only one asked. */
