Explorer also freezes processes that wait for the store, and others than the holder

Rights that never end were not noticed, since processes were frozen between writes only, and neither were reports with counts that came late.

--- a/gateway/src/test/java/org/sesamedeck/gateway/duty/DutyInterleavingsTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/duty/DutyInterleavingsTest.java
@@ -33,15 +33,26 @@
         SUSPEND,
         KILL,
         CUT_FROM_STORE,
-        STOP
+        STOP,
+        FREEZE_ANOTHER
+    }
+
+    /** What happens to one write, or to its process while it waits for the response. */
+    private enum WriteFate {
+        ANSWERED(StoreFault.NONE),
+        LOST_BEFORE_EFFECT(StoreFault.LOST_BEFORE_EFFECT),
+        LOST_AFTER_EFFECT(StoreFault.LOST_AFTER_EFFECT),
+        LATE_EFFECT(StoreFault.LATE_EFFECT),
+        FROZEN_MEANWHILE(StoreFault.NONE),
+        SUSPENDED_MEANWHILE(StoreFault.NONE);
+
+        private final StoreFault mFault;
+
+        WriteFate(StoreFault fault) {
+            mFault = fault;
+        }
     }
 
-    private static final List<StoreFault> STORE_FAULTS =
-            List.of(
-                    StoreFault.NONE,
-                    StoreFault.LOST_BEFORE_EFFECT,
-                    StoreFault.LOST_AFTER_EFFECT,
-                    StoreFault.LATE_EFFECT);
     private static final List<Fate> FATES =
             List.of(
                     Fate.ANSWERED,
@@ -61,7 +72,7 @@
         SimulatedFleet fleet = new SimulatedFleet(3, checksFences, 1);
         fleet.advance(Duration.ofMillis(11_316));
         boolean[] isExploring = {true};
-        fleet.members().forEach(member -> chooseStoreFaults(member, choices, isExploring));
+        fleet.members().forEach(member -> chooseStoreFaults(fleet, member, choices, isExploring));
         fleet.platform()
                 .setFates(
                         call ->
@@ -88,14 +99,38 @@
     }
 
     private static void chooseStoreFaults(
-            SimulatedFleet.Member member, ChoiceExplorer.Choices choices, boolean[] isExploring) {
+            SimulatedFleet fleet,
+            SimulatedFleet.Member member,
+            ChoiceExplorer.Choices choices,
+            boolean[] isExploring) {
         member.host()
                 .fakeStore()
                 .setFaults(
-                        kind ->
-                                kind == CallKind.UPDATE && isExploring[0]
-                                        ? choices.choose("write of " + member.name(), STORE_FAULTS)
-                                        : StoreFault.NONE);
+                        kind -> {
+                            if (kind != CallKind.UPDATE || !isExploring[0]) {
+                                return StoreFault.NONE;
+                            }
+                            WriteFate fate =
+                                    choices.choose(
+                                            "write of " + member.name(),
+                                            List.of(WriteFate.values()));
+                            if (fate == WriteFate.FROZEN_MEANWHILE) {
+                                freeze(fleet, member.host());
+                            } else if (fate == WriteFate.SUSPENDED_MEANWHILE) {
+                                suspend(fleet, member.host());
+                            }
+                            return fate.mFault;
+                        });
+    }
+
+    private static void freeze(SimulatedFleet fleet, SimulatedHost host) {
+        host.freeze();
+        fleet.scheduler().schedule(FAULT_TIME, host::resume);
+    }
+
+    private static void suspend(SimulatedFleet fleet, SimulatedHost host) {
+        host.suspend();
+        fleet.scheduler().schedule(FAULT_TIME, host::resume);
     }
 
     private static void apply(
@@ -110,14 +145,13 @@
         SimulatedFleet.Member member = holder.get();
         SimulatedHost host = member.host();
         switch (fault) {
-            case FREEZE -> {
-                host.freeze();
-                fleet.scheduler().schedule(FAULT_TIME, host::resume);
-            }
-            case SUSPEND -> {
-                host.suspend();
-                fleet.scheduler().schedule(FAULT_TIME, host::resume);
-            }
+            case FREEZE -> freeze(fleet, host);
+            case SUSPEND -> suspend(fleet, host);
+            case FREEZE_ANOTHER ->
+                    fleet.members().stream()
+                            .filter(other -> other != member && other.host().isRunning())
+                            .findFirst()
+                            .ifPresent(other -> freeze(fleet, other.host()));
             case CUT_FROM_STORE -> {
                 host.fakeStore().setUnavailable(true);
                 fleet.scheduler()
@@ -147,6 +181,6 @@
             boolean[] isExploring) {
         member.duties().flush();
         member.host().kill();
-        chooseStoreFaults(fleet.add(member.name()), choices, isExploring);
+        chooseStoreFaults(fleet, fleet.add(member.name()), choices, isExploring);
     }
 }
