Decode slots and pace of an endpoint's load report

Cause: only the first two figures of the load header were kept, so a free slot counted as a wait and a host that was slow at the moment could not be told from one that is slow for good.

--- a/routing/src/main/java/org/sesamedeck/routing/LoadReport.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadReport.java
@@ -1,5 +1,8 @@
 package org.sesamedeck.routing;
 
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+
 /**
  * Load that an endpoint reported.
  *
@@ -7,6 +10,9 @@
  * @param runningRequests requests in progress
  * @param queuedPromptTokens prompt tokens not yet processed
  * @param kvCacheUsage fraction of the KV cache in use, 0 to 1
+ * @param slots number of requests that the endpoint serves at once
+ * @param pace how long work takes on the endpoint's host at the moment of the report, relative to
+ *     usual: 2 is twice as long; changes many times a second
  * @param observedAtNanos monotonic time to which the report refers, in nanoseconds
  */
 public record LoadReport(
@@ -14,4 +20,28 @@
         int runningRequests,
         long queuedPromptTokens,
         double kvCacheUsage,
-        long observedAtNanos) {}
+        OptionalInt slots,
+        OptionalDouble pace,
+        long observedAtNanos) {
+    /** Creates a report without slots and pace. */
+    public LoadReport(
+            int queuedRequests,
+            int runningRequests,
+            long queuedPromptTokens,
+            double kvCacheUsage,
+            long observedAtNanos) {
+        this(
+                queuedRequests,
+                runningRequests,
+                queuedPromptTokens,
+                kvCacheUsage,
+                OptionalInt.empty(),
+                OptionalDouble.empty(),
+                observedAtNanos);
+    }
+
+    /** Returns the age of the report, in nanoseconds. */
+    public long ageNanos(long nowNanos) {
+        return nowNanos - observedAtNanos;
+    }
+}
