Expect work to take as long as the endpoint's speed and pace make it

Cause: every process learned the time of a token for each endpoint by itself, from a few requests each, beginning at the value of the settings; the fixed time of a prompt counted as time of its tokens; the expected wait at a plain service was its requests times the mean time, free slots or not, so that one request in progress was enough to prefer another region.

WorkTimeModel learns the time of work once for a service and role from all endpoints (fixed time and time per token apart). LearnedSpeed has for each endpoint the lasting ratio to it, with as much confidence as observations, and the reported pace, which returns to usual within a fraction of a second. Work that may have waited does not teach the ratio. A plain service with a free slot has no wait but the chance of one (Sakasegawa's approximation); without a report it counts as having one slot, so that new endpoints begin with little work.

--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -43,6 +43,8 @@
     private final PrefixIndex mPrefixes = PrefixIndex.create(PREFIX_CAPACITY);
     private final PrefixUpdateBuffer mPrefixUpdates = new PrefixUpdateBuffer();
     private final EndpointExclusions mExclusions;
+    private final WorkTimeModels mModels;
+    private final SpeedEstimate.Factory mSpeeds;
     private volatile int mProcesses = 1;
     private volatile EndpointTable mTable = EndpointTable.empty();
 
@@ -50,9 +52,12 @@
             Clock clock,
             RouterSettings settings,
             EngineTimeEstimator estimator,
+            SpeedEstimate.Factory speeds,
             String name,
             long seed) {
         mClock = clock;
+        mModels = new WorkTimeModels(settings);
+        mSpeeds = speeds;
         mEstimator = estimator;
         mSettings = settings;
         mSubset = RendezvousSubset.of(name, settings);
@@ -86,7 +91,18 @@
             EngineTimeEstimator estimator,
             String name,
             long seed) {
-        return new DefaultRouter(clock, settings, estimator, name, seed);
+        return new DefaultRouter(
+                clock, settings, estimator, () -> new LearnedSpeed(clock), name, seed);
+    }
+
+    /** Returns a router without endpoints that estimates their speed in another way. */
+    static DefaultRouter create(
+            Clock clock,
+            RouterSettings settings,
+            SpeedEstimate.Factory speeds,
+            String name,
+            long seed) {
+        return new DefaultRouter(clock, settings, EngineTimeEstimator.create(), speeds, name, seed);
     }
 
     /** Returns the index of prompt prefixes, which cache events of engines may correct. */
@@ -133,7 +149,7 @@
         if (best == null) {
             return OptionalLong.empty();
         }
-        double prompt = choice.bestUncachedTokens() * best.prefillNanosPerToken();
+        double prompt = best.promptNanos(choice.bestUncachedTokens());
         return OptionalLong.of((long) (best.expectedWaitNanos(mProcesses) + prompt));
     }
 
@@ -211,7 +227,8 @@
             if (known != null) {
                 mPrefixes.removeEndpoint(endpoint.name());
             }
-            EndpointState state = new EndpointState(mClock, mSettings, endpoint);
+            EndpointState state =
+                    new EndpointState(mClock, mSettings, endpoint, mModels, mSpeeds.create());
             if (hasStatedLeaving) {
                 state.statedLeaving();
             }
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -211,7 +211,7 @@
         if (!mProfile.isModelRequest()) {
             return cost + state.plainServiceNanos() + regionNanos(description, 1);
         }
-        double prompt = uncachedTokens * state.prefillNanosPerToken();
+        double prompt = mPhase == RequestPhase.DECODE ? 0 : state.promptNanos(uncachedTokens);
         double output =
                 mPhase == RequestPhase.PREFILL
                         ? 0
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -8,7 +8,26 @@
  * then, its learned speed and its circuit breaker. Thread-safe.
  */
 final class EndpointState {
-    private static final double LEARNING_RATE = 0.1;
+    /** Weight of one interval between tokens in the learned speed, in requests. */
+    private static final double TOKEN_INTERVAL_WEIGHT = 0.1;
+
+    /** The time of shorter prompts says little about the time of a token. */
+    private static final double MIN_LEARNED_TOKENS = 64;
+
+    /**
+     * Weight of a long time while the load of other processes is unknown: the prompt may have
+     * waited for theirs, whereas a short time is never too short.
+     */
+    private static final double POSSIBLE_WAIT_WEIGHT = 0.1;
+
+    /** Work that waits for no longer than this fraction of its own time counts as not waiting. */
+    private static final double NEGLIGIBLE_WAIT = 0.1;
+
+    /** The load of other processes is older than a report of this age. */
+    private static final long FRESH_REPORT_NANOS = 100_000_000L;
+
+    /** Limits the chance of a wait for a slot, which has no bound as all slots become busy. */
+    private static final double MAX_BUSY_PART = 0.8;
 
     /** Reported work is ignored in older reports, which say nothing about the current load. */
     private static final long MAX_REPORT_AGE_NANOS = 15_000_000_000L;
@@ -36,8 +55,11 @@
     private final Clock mClock;
     private final EngineTraits mTraits;
     private final CircuitBreaker mBreaker;
+    private final WorkTimeModels mModels;
+    private final SpeedEstimate mSpeed;
     private final ArrayDeque<RoutedAssignment> mAssignmentsSinceReport = new ArrayDeque<>();
     private volatile EndpointDescription mDescription;
+    private volatile WorkTimeModel mModel;
     private volatile boolean mMarkedLeaving;
     private volatile long mMarkedAtNanos;
     private volatile boolean mStatedLeaving;
@@ -53,12 +75,7 @@
     private double mUnstartedSinceReportNanos;
     private double mAssignedSinceReportNanos;
     private int mRunningSinceReport;
-    private double mPrefillNanosPerToken;
-
-    /** Token interval of a response that runs alone. */
-    private double mIdleDecodeNanosPerToken;
-
-    private double mPlainServiceNanos = 10_000_000;
+    private int mSlots;
     private double mRecentPromptNanos;
     private long mRecentUpdatedAtNanos;
     private boolean mHasPeerLoad;
@@ -66,13 +83,19 @@
     private double mPeerWaitingNanos;
     private int mPeerRunning;
 
-    EndpointState(Clock clock, RouterSettings settings, EndpointDescription description) {
+    EndpointState(
+            Clock clock,
+            RouterSettings settings,
+            EndpointDescription description,
+            WorkTimeModels models,
+            SpeedEstimate speed) {
         mClock = clock;
         mBreaker = CircuitBreaker.create(clock);
         mTraits = settings.traits();
         mDescription = description;
-        mPrefillNanosPerToken = settings.prefillNanosPerToken();
-        mIdleDecodeNanosPerToken = settings.decodeNanosPerToken();
+        mModels = models;
+        mSpeed = speed;
+        mModel = models.of(description);
     }
 
     EndpointDescription description() {
@@ -94,6 +117,7 @@
             mMarkedLeaving = false;
         }
         mDescription = description;
+        mModel = mModels.of(description);
     }
 
     void markLeaving() {
@@ -151,7 +175,9 @@
         mReportedAtNanos = report.observedAtNanos();
         mReportedRunning = report.runningRequests();
         mReportedQueued = report.queuedRequests();
-        mReportedPromptNanos = report.queuedPromptTokens() * mPrefillNanosPerToken;
+        mSlots = report.slots().orElse(0);
+        report.pace().ifPresent(pace -> mSpeed.paceReported(pace, mReportedAtNanos));
+        mReportedPromptNanos = report.queuedPromptTokens() * prefillNanosPerToken();
         while (!mAssignmentsSinceReport.isEmpty()
                 && mAssignmentsSinceReport.peekFirst().assignedAtNanos() - mReportedAtNanos <= 0) {
             RoutedAssignment included = mAssignmentsSinceReport.pollFirst();
@@ -219,44 +245,61 @@
     }
 
     /**
-     * Learns the endpoint's speed from a completed response. Prefill speed is learned only when
-     * this router knew of no queue at the endpoint.
+     * Learns from a completed response how long work takes at the endpoint and at those like it.
+     *
+     * @param uncachedTokens 0 if the response does not tell how long its prompt took
+     * @param startedAtOnce whether the work did not wait, as far as it is known; only then does its
+     *     time tell the speed
+     * @param pace pace of the host when the first token arrived
      */
     synchronized void learn(
             boolean isModelRequest,
             double uncachedTokens,
-            long outputTokens,
             long prefillNanos,
             long decodeNanos,
-            boolean wasQueueEmpty) {
-        if (!isModelRequest) {
-            mPlainServiceNanos += LEARNING_RATE * (prefillNanos + decodeNanos - mPlainServiceNanos);
+            boolean startedAtOnce,
+            double pace) {
+        if (!startedAtOnce) {
             return;
         }
-        if (wasQueueEmpty && uncachedTokens >= 64) {
-            double sample = prefillNanos / uncachedTokens;
-            // A measured time is never below the processing time, but often includes a wait for a
-            // batch: low samples have full weight, high ones a tenth.
-            double rate = sample < mPrefillNanosPerToken ? LEARNING_RATE : LEARNING_RATE / 10;
-            mPrefillNanosPerToken += rate * (sample - mPrefillNanosPerToken);
-        }
-        if (outputTokens >= 8 && decodeNanos > 0) {
-            double sample =
-                    decodeNanos / (outputTokens - 1.0) / (1 + runningNow() / mTraits.batchScale());
-            mIdleDecodeNanosPerToken += LEARNING_RATE * (sample - mIdleDecodeNanosPerToken);
+        if (!isModelRequest) {
+            double nanos = prefillNanos + decodeNanos;
+            double expected = mModel.serviceNanos();
+            mModel.learnService(nanos / (lastingFactor() * pace));
+            mSpeed.learn(nanos / expected, 1, pace);
+        } else if (uncachedTokens >= MIN_LEARNED_TOKENS) {
+            double ratio = prefillNanos / mModel.promptNanos(uncachedTokens);
+            double usual = prefillNanos / (lastingFactor() * pace);
+            boolean mayHaveWaited = !knowsPeerLoad() && ratio > mSpeed.factor();
+            mModel.learnPrompt(uncachedTokens, usual, mayHaveWaited ? POSSIBLE_WAIT_WEIGHT : 1);
+            if (knowsPeerLoad()) {
+                // Otherwise, a wait behind the work of other processes would count as slowness.
+                mSpeed.learn(ratio, 1, pace);
+            }
         }
     }
 
     /** Learns from the token interval of a response that is still in progress. */
     synchronized void learnTokenInterval(int tokens, long nanos) {
         double sample = (double) nanos / tokens / (1 + runningNow() / mTraits.batchScale());
-        mIdleDecodeNanosPerToken += LEARNING_RATE * (sample - mIdleDecodeNanosPerToken);
+        double expected = mModel.tokenIntervalNanos();
+        mModel.learnTokenInterval(sample / mSpeed.factor());
+        mSpeed.learn(sample / expected, TOKEN_INTERVAL_WEIGHT, mSpeed.pace());
+    }
+
+    private double lastingFactor() {
+        return mSpeed.factor() / mSpeed.pace();
+    }
+
+    /** Returns the current pace of the endpoint's host; 1 is usual. */
+    synchronized double pace() {
+        return mSpeed.pace();
     }
 
     /** Returns how many responses the engine can generate within the token interval limit. */
     synchronized double decodeCapacity() {
         double capacity =
-                (mTraits.tokenIntervalLimitNanos() / mIdleDecodeNanosPerToken - 1)
+                (mTraits.tokenIntervalLimitNanos() / idleTokenIntervalNanos() - 1)
                         * mTraits.batchScale();
         return Math.max(MIN_DECODE_CAPACITY, capacity);
     }
@@ -264,18 +307,17 @@
     /**
      * Returns the expected time until work sent now would begin, in nanoseconds.
      *
-     * <p>For a plain service, it is the number of running and queued requests times the mean
-     * service time. For an engine, it is the prefill time of all prompts that wait for their first
-     * token, when the load of the other processes is known. Otherwise, it is the reported work,
-     * less what the endpoint can have done since, plus what was sent since. This router knows only
-     * its own part of the latter; the other processes saw the same report and are assumed to have
-     * sent as much.
+     * <p>For a plain service, see {@link #plainWaitNanos}. For an engine, it is the prefill time of
+     * all prompts that wait for their first token, when the load of the other processes is known.
+     * Otherwise, it is the reported work, less what the endpoint can have done since, plus what was
+     * sent since. This router knows only its own part of the latter; the other processes saw the
+     * same report and are assumed to have sent as much.
      *
      * @param processes number of processes that send work, including this one
      */
     synchronized double expectedWaitNanos(int processes) {
         if (!mDescription.isEngine()) {
-            return (runningNow() + mReportedQueued) * mPlainServiceNanos;
+            return plainWaitNanos();
         }
         if (knowsPeerLoad()) {
             return Math.max(0, mOwnUnstartedNanos) + mPeerWaitingNanos;
@@ -289,6 +331,47 @@
                 mUnstartedSinceReportNanos, reported + processes * mAssignedSinceReportNanos - age);
     }
 
+    /**
+     * Returns the expected wait at a plain service. A request does not wait while a slot is free.
+     * Since requests of other processes arrive meanwhile, the approximation of the mean wait in an
+     * M/M/c queue by Sakasegawa (1977) is added: it is small until most slots are busy. An endpoint
+     * that has not reported its slots is taken to serve one request at a time, so that a new one
+     * gets little work until its first response.
+     */
+    private double plainWaitNanos() {
+        double requests = plainRequests();
+        double slots = Math.max(1, mSlots);
+        double busyPart = Math.min(MAX_BUSY_PART, requests / slots);
+        double chance = Math.pow(busyPart, Math.sqrt(2 * (slots + 1)) - 1) / (1 - busyPart);
+        double ahead = Math.max(0, requests + 1 - slots);
+        return (ahead + chance) / slots * plainServiceNanos();
+    }
+
+    /** Returns the number of requests that a plain service has, running or queued. */
+    private double plainRequests() {
+        long age = mClock.nanoTime() - mReportedAtNanos;
+        if (knowsPeerLoad() && (!mHasReport || age > FRESH_REPORT_NANOS)) {
+            return mOwnRunning + mPeerRunning;
+        }
+        return mHasReport && age <= MAX_REPORT_AGE_NANOS
+                ? mReportedRunning + mReportedQueued + mRunningSinceReport
+                : mOwnRunning;
+    }
+
+    /**
+     * Returns whether work sent now would start at once, as far as it is known.
+     *
+     * @param nanos expected time of the work
+     */
+    synchronized boolean startsAtOnce(double nanos) {
+        if (!mDescription.isEngine()) {
+            return plainRequests() < Math.max(1, mSlots);
+        }
+        return knowsPeerLoad()
+                ? expectedWaitNanos(1) <= NEGLIGIBLE_WAIT * nanos
+                : mOwnUnstartedNanos <= 0 && mReportedQueued == 0;
+    }
+
     /**
      * Returns the prefill time of this router's prompts of about the last second, finished or not;
      * zero when the current load of all processes is known.
@@ -314,18 +397,23 @@
         return mHasReport ? mReportedRunning + mRunningSinceReport : mOwnRunning;
     }
 
-    /** Returns whether this router knows of no prompt that waits at the endpoint. */
-    synchronized boolean isQueueEmpty() {
-        return mOwnUnstartedNanos <= 0 && mReportedQueued == 0;
+    /** Returns the time to the first token of a prompt that does not wait, in nanoseconds. */
+    synchronized double promptNanos(double uncachedTokens) {
+        return mModel.promptNanos(uncachedTokens) * mSpeed.factor();
     }
 
+    /** Returns the time for which a prompt token occupies the endpoint, in nanoseconds. */
     synchronized double prefillNanosPerToken() {
-        return mPrefillNanosPerToken;
+        return mModel.nanosPerToken() * mSpeed.factor();
     }
 
     /** Returns the expected time between tokens under the current batch, in nanoseconds. */
     synchronized double decodeNanosPerToken() {
-        return mIdleDecodeNanosPerToken * (1 + runningNow() / mTraits.batchScale());
+        return idleTokenIntervalNanos() * (1 + runningNow() / mTraits.batchScale());
+    }
+
+    private double idleTokenIntervalNanos() {
+        return mModel.tokenIntervalNanos() * mSpeed.factor();
     }
 
     /**
@@ -333,13 +421,13 @@
      * report lengthen the token interval, in nanoseconds.
      */
     synchronized double peerDecodeNanosPerToken(int processes) {
-        return mIdleDecodeNanosPerToken
+        return idleTokenIntervalNanos()
                 * (processes - 1)
                 * mRunningSinceReport
                 / mTraits.batchScale();
     }
 
     synchronized double plainServiceNanos() {
-        return mPlainServiceNanos;
+        return mModel.serviceNanos() * mSpeed.factor();
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
@@ -29,13 +29,14 @@
     private final double mUncachedTokens;
     private final double mPromptNanos;
     private final long mAssignedAtNanos;
-    private final boolean mWasQueueEmpty;
+    private final boolean mStartsAtOnce;
     private double mUnstartedNanos;
     private boolean mIsCountedSinceReport = true;
     private boolean mHasOutcome;
     private boolean mIsClosed;
     private boolean mHasQueuedPrefixUpdate;
     private long mFirstTokenAtNanos;
+    private double mPaceAtFirstToken = 1;
 
     RoutedAssignment(
             Clock clock,
@@ -63,7 +64,7 @@
                                 : endpoint.plainServiceNanos();
         mUnstartedNanos = mPromptNanos;
         mAssignedAtNanos = clock.nanoTime();
-        mWasQueueEmpty = endpoint.isQueueEmpty();
+        mStartsAtOnce = endpoint.startsAtOnce(mPromptNanos);
         endpoint.assigned(this);
     }
 
@@ -110,6 +111,7 @@
             return;
         }
         mFirstTokenAtNanos = mClock.nanoTime();
+        mPaceAtFirstToken = mEndpoint.pace();
         mEndpoint.started(this);
         recordPrefix();
     }
@@ -133,10 +135,10 @@
         mEndpoint.learn(
                 mProfile.isModelRequest(),
                 hasPrompt ? mUncachedTokens : 0,
-                outputTokens,
                 first - mAssignedAtNanos,
                 now - first,
-                mWasQueueEmpty);
+                mStartsAtOnce,
+                mPaceAtFirstToken);
         learnCost(hasPrompt, first - mAssignedAtNanos, outputTokens, now - first);
     }
 
@@ -150,7 +152,7 @@
             return;
         }
         double prompt =
-                hasPrompt && mWasQueueEmpty && mUncachedTokens >= MIN_PROMPT_TOKENS
+                hasPrompt && mStartsAtOnce && mUncachedTokens >= MIN_PROMPT_TOKENS
                         ? prefillNanos / mUncachedTokens / 1e3
                         : 0;
         double batch = mEndpoint.runningNow();
