--- a/request/src/main/java/org/sesamedeck/request/ServiceDescription.java
+++ b/request/src/main/java/org/sesamedeck/request/ServiceDescription.java
@@ -1,6 +1,7 @@
 package org.sesamedeck.request;
 
 import java.util.Optional;
+import org.sesamedeck.routing.scaling.ScalingTerms;
 
 /**
  * The configuration of a service.
