--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.ToIntFunction;
 import org.sesamedeck.core.Clock;
 
 /**
@@ -251,6 +252,19 @@
                                         loads.getOrDefault(name, new EndpointLoad(name, 0, 0))));
     }
 
+    @Override
+    public Optional<PhaseLoad> phaseLoad(String service, ToIntFunction<EndpointRole> engines) {
+        PhaseLoadSum sum = new PhaseLoadSum();
+        for (EndpointState state : mTable.pool(service).all()) {
+            Optional<EndpointLoad> load = state.fleetLoad(mProcesses);
+            if (load.isEmpty()) {
+                return Optional.empty();
+            }
+            sum.add(state.description().role(), load.get());
+        }
+        return sum.extendedTo(engines);
+    }
+
     @Override
     public void markLeaving(String endpoint) {
         EndpointState state = mTable.state(endpoint);
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -1,6 +1,7 @@
 package org.sesamedeck.routing;
 
 import java.util.ArrayDeque;
+import java.util.Optional;
 import org.sesamedeck.core.Clock;
 
 /**
@@ -143,6 +144,24 @@
                 mDescription.name(), (long) Math.max(0, mOwnUnstartedNanos), mOwnRunning);
     }
 
+    /**
+     * Returns the load of all processes; empty if that of the others is unknown.
+     *
+     * @param processes number of processes that send work, including this one
+     */
+    synchronized Optional<EndpointLoad> fleetLoad(int processes) {
+        EndpointLoad own = ownLoad();
+        if (processes <= 1) {
+            return Optional.of(own);
+        }
+        return knowsPeerLoad()
+                ? Optional.of(
+                        own.plus(
+                                new EndpointLoad(
+                                        own.endpoint(), (long) mPeerWaitingNanos, mPeerRunning)))
+                : Optional.empty();
+    }
+
     private boolean knowsPeerLoad() {
         return mHasPeerLoad && mClock.nanoTime() - mPeerLoadAtNanos < MAX_PEER_LOAD_AGE_NANOS;
     }
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 
 /** Chooses endpoints for requests. Thread-safe; does no I/O. */
 public interface Router {
@@ -88,6 +89,17 @@
      */
     default void updatePeerLoad(Map<String, EndpointLoad> loads) {}
 
+    /**
+     * Returns the current load of a service's engines, summed over all processes and extended to
+     * the engines outside of this router's subset; empty while the load of the other processes is
+     * unknown.
+     *
+     * @param engines number of engines of the service by role
+     */
+    default Optional<PhaseLoad> phaseLoad(String service, ToIntFunction<EndpointRole> engines) {
+        return Optional.empty();
+    }
+
     /** Marks an endpoint as leaving, before the endpoint table shows it. */
     void markLeaving(String endpoint);
 
--- /dev/null
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeed.java
@@ -0,0 +1,15 @@
+package org.sesamedeck.routing.scaling;
+
+/**
+ * Number of servers that a service needs for its callers' targets.
+ *
+ * @param prefill servers for prompts
+ * @param decode servers for responses
+ * @param isSettled whether the load has been measured for long enough to give servers back
+ */
+public record ServerNeed(int prefill, int decode, boolean isSettled) {
+    /** Returns the number of servers of both phases. */
+    public int total() {
+        return prefill + decode;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
@@ -0,0 +1,95 @@
+package org.sesamedeck.routing.scaling;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.sesamedeck.core.Clock;
+import org.sesamedeck.routing.EndpointRole;
+import org.sesamedeck.routing.PhaseLoad;
+
+/**
+ * Estimates from the measured load of both phases how many servers a service needs. Not
+ * thread-safe.
+ *
+ * <p>The thresholds follow from what callers notice. A prefill engine processes one prompt after
+ * the other, so the wait of a short prompt is that behind a long one, and grows without bound as
+ * the engines approach saturation; at half of it most prompts find an idle engine. A decode engine
+ * lengthens the token interval of all its responses as it fills, and needs places for a burst until
+ * further servers have started. While the load has been measured for less than the hold time, no
+ * fewer servers count as needed than were there first.
+ */
+public final class ServerNeedEstimator {
+    private static final double PREFILL_UTILIZATION = 0.5;
+    private static final double DECODE_UTILIZATION = 0.6;
+
+    /** Fraction of the target latency that prompts may wait on average. */
+    private static final double WAIT_FRACTION = 0.25;
+
+    /** Bounds how many more prefill engines one measurement of a long wait asks for. */
+    private static final double MAX_WAIT_FACTOR = 1.5;
+
+    /** A phase with a single engine is interrupted whenever that engine fails. */
+    private static final int MIN_PER_PHASE = 2;
+
+    private final LoadForecast mPrefill;
+    private final LoadForecast mDecode;
+    private Optional<ServerCounts> mFirstCounts = Optional.empty();
+
+    private ServerNeedEstimator(Clock clock) {
+        mPrefill = new LoadForecast(clock);
+        mDecode = new LoadForecast(clock);
+    }
+
+    /** Returns an estimator without measurements. */
+    public static ServerNeedEstimator create(Clock clock) {
+        return new ServerNeedEstimator(clock);
+    }
+
+    /** Records the servers that are there; the first ones are the least until load is known. */
+    public void observeServers(ServerCounts counts) {
+        if (mFirstCounts.isEmpty() && counts.total() > 0) {
+            mFirstCounts = Optional.of(counts);
+        }
+    }
+
+    /**
+     * Records a measurement of the load; called several times a second.
+     *
+     * @param counts servers that are there now
+     * @param targetLatency shortest target latency of the service's routes
+     */
+    public void observeLoad(PhaseLoad load, ServerCounts counts, Duration targetLatency) {
+        mPrefill.add(Math.max(load.busyPrefillEngines(), loadByWait(load, counts, targetLatency)));
+        mDecode.add(load.responses());
+    }
+
+    /**
+     * Returns the number of busy engines at which prompts of average variance would wait as long as
+     * they do now: long prompts make others wait at a moderate utilization, too.
+     */
+    private static double loadByWait(PhaseLoad load, ServerCounts counts, Duration targetLatency) {
+        double waitRatio = load.promptBacklogNanos() / (targetLatency.toNanos() * WAIT_FRACTION);
+        int engines = counts.of(EndpointRole.PREFILL) + counts.of(EndpointRole.MIXED);
+        return waitRatio <= 1
+                ? 0
+                : engines * PREFILL_UTILIZATION * Math.min(MAX_WAIT_FACTOR, waitRatio);
+    }
+
+    /** Returns the need until servers that are ordered now serve. */
+    public ServerNeed need(ScalingTerms terms) {
+        double busy = mPrefill.within(terms.startTime());
+        int prefill = (int) Math.ceil(busy / PREFILL_UTILIZATION);
+        double places = Math.max(1, terms.concurrency()) * DECODE_UTILIZATION;
+        int decode = (int) Math.ceil(mDecode.within(terms.startTime()) / places);
+        return settled(Math.max(MIN_PER_PHASE, prefill), Math.max(MIN_PER_PHASE, decode));
+    }
+
+    private ServerNeed settled(int prefill, int decode) {
+        if (mDecode.isSettled()) {
+            return new ServerNeed(prefill, decode, true);
+        }
+        int firstPrefill = mFirstCounts.map(first -> first.of(EndpointRole.PREFILL)).orElse(0);
+        int firstOthers = mFirstCounts.map(first -> first.total() - firstPrefill).orElse(0);
+        return new ServerNeed(
+                Math.max(prefill, firstPrefill), Math.max(decode, firstOthers), false);
+    }
+}
