Orders for servers by the process that holds the duties

The planner had no executor. ServerScaler measures the fleet's load on every process, plans once a second on the holder, confirms the right before a round and checks it before each order. A round ends with the first order that is not accepted; orders without an answer count until the endpoint table must show them. Roles follow the servers that are there: for services with terms the plan asks for roles, and the process that wrote a service's role record last goes on without the quiet period, since no other can have obtained a right in between (one command in nine seconds could not follow servers that bring another role).

--- a/gateway/src/main/java/org/sesamedeck/gateway/RoleCoordinator.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/RoleCoordinator.java
@@ -33,6 +33,9 @@
  * between its write and its command sends a stale fencing number, which the engine rejects; a
  * command that arrives late finds that the engine has accepted another command in the meantime. No
  * lease is renewed, so a service with balanced roles causes no store traffic.
+ *
+ * <p>A process whose own write is the latest one needs no quiet period before its next command: no
+ * other process can have obtained a right in between.
  */
 public final class RoleCoordinator {
     private static final String KIND = "engine-roles";
@@ -57,6 +60,9 @@
 
     private static final Duration RETRY_DELAY = Duration.ofSeconds(3);
 
+    /** Delay of the process that wrote last, after a command that was answered. */
+    private static final Duration NEXT_COMMAND_DELAY = Duration.ofMillis(500);
+
     private final Clock mClock;
     private final ObjectStore mStore;
     private final EngineCommandClient mCommandClient;
@@ -69,6 +75,8 @@
         private long mVersion;
         private long mObservedNanos;
         private boolean mIsBusy;
+        private boolean mIsOwnVersion;
+        private Duration mDelay = RETRY_DELAY;
         private Optional<Long> mLastAttemptNanos = Optional.empty();
     }
 
@@ -99,17 +107,23 @@
         return new RoleCoordinator(clock, store, commandClient, log, holder);
     }
 
-    /** Requests one more engine of a role; may be called at any rate. */
-    public void requestRole(String service, EndpointRole role, List<EndpointDescription> engines) {
+    /**
+     * Requests one more engine of a role; may be called at any rate.
+     *
+     * @return whether this process now tries to obtain the right to change one
+     */
+    public boolean requestRole(
+            String service, EndpointRole role, List<EndpointDescription> engines) {
         ServiceState state = mServices.computeIfAbsent(service, name -> new ServiceState());
         long now = mClock.nanoTime();
         boolean attemptedRecently =
-                state.mLastAttemptNanos.map(at -> now - at < RETRY_DELAY.toNanos()).orElse(false);
+                state.mLastAttemptNanos.map(at -> now - at < state.mDelay.toNanos()).orElse(false);
         Optional<EndpointDescription> engine = RoleChangeChoice.choose(engines, role);
         if (state.mIsBusy || attemptedRecently || engine.isEmpty() || isQuietPeriod(state)) {
-            return;
+            return false;
         }
         state.mIsBusy = true;
+        state.mDelay = RETRY_DELAY;
         state.mLastAttemptNanos = Optional.of(now);
         ObjectKey key = ObjectKey.of(KIND, service);
         mStore.get(key)
@@ -118,7 +132,7 @@
                         version ->
                                 version.isEmpty()
                                         ? CompletableFuture.completedFuture(null)
-                                        : sendCommand(engine.get(), role, version.get()))
+                                        : sendCommand(state, engine.get(), role, version.get()))
                 .whenComplete(
                         (done, failure) -> {
                             state.mIsBusy = false;
@@ -126,10 +140,12 @@
                                 failed(service, failure);
                             }
                         });
+        return true;
     }
 
     private boolean isQuietPeriod(ServiceState state) {
         return state.mVersion != 0
+                && !state.mIsOwnVersion
                 && mClock.nanoTime() - state.mObservedNanos < QUIET_PERIOD.toNanos();
     }
 
@@ -146,6 +162,7 @@
         long found = stored.map(StoredObject::version).orElse(0L);
         if (found != state.mVersion) {
             observe(state, found);
+            state.mIsOwnVersion = false;
             return CompletableFuture.completedFuture(Optional.empty());
         }
         long startNanos = mClock.nanoTime();
@@ -158,10 +175,12 @@
                         // Another process may have written, or this write may have taken effect:
                         // waits the quiet period in either case. Version 0 would skip it.
                         state.mVersion = Math.max(1, found);
+                        state.mIsOwnVersion = false;
                         state.mObservedNanos = mClock.nanoTime();
                         throw SesamedeckException.from(failure);
                     }
                     observe(state, version);
+                    state.mIsOwnVersion = true;
                     boolean isLate =
                             mClock.nanoTime() - startNanos > MAX_ACQUISITION_TIME.toNanos();
                     return isLate ? Optional.empty() : Optional.of(version);
@@ -174,7 +193,7 @@
     }
 
     private CompletableFuture<Void> sendCommand(
-            EndpointDescription engine, EndpointRole role, long fencingNumber) {
+            ServiceState state, EndpointDescription engine, EndpointRole role, long fencingNumber) {
         long acquiredNanos = mClock.nanoTime();
         Instant acquired = mClock.now();
         return mCommandClient
@@ -197,7 +216,7 @@
                                             mHolder,
                                             fencingNumber,
                                             status.acceptedCommands())
-                                    .thenAccept(result -> commandCompleted(engine, result));
+                                    .thenAccept(result -> commandCompleted(state, engine, result));
                         });
     }
 
@@ -213,7 +232,10 @@
     }
 
     private void commandCompleted(
-            EndpointDescription engine, EngineCommandClient.CommandResult result) {
+            ServiceState state,
+            EndpointDescription engine,
+            EngineCommandClient.CommandResult result) {
+        state.mDelay = NEXT_COMMAND_DELAY;
         mLog.record(entry(Decision.ORDER_ANSWERED, engine).with("result", result));
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
@@ -0,0 +1,328 @@
+package org.sesamedeck.gateway.scaling;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.TreeMap;
+import org.sesamedeck.core.Clock;
+import org.sesamedeck.core.SesamedeckException;
+import org.sesamedeck.gateway.DutyClient;
+import org.sesamedeck.gateway.DutyHolder;
+import org.sesamedeck.gateway.DutyResult;
+import org.sesamedeck.gateway.DutyRight;
+import org.sesamedeck.gateway.MetricsText;
+import org.sesamedeck.gateway.ServerOrder;
+import org.sesamedeck.request.Decision;
+import org.sesamedeck.request.DecisionLog;
+import org.sesamedeck.request.LogEntry;
+import org.sesamedeck.request.ServiceDescription;
+import org.sesamedeck.request.ServingConfiguration;
+import org.sesamedeck.routing.EndpointDescription;
+import org.sesamedeck.routing.EndpointRole;
+import org.sesamedeck.routing.Router;
+import org.sesamedeck.routing.scaling.ServerPlan;
+
+/**
+ * Orders servers from the platform and gives them back, and has engines change their role, on the
+ * process that holds the duties. Confined to the control thread.
+ *
+ * <p>The right is confirmed in the store before each round of orders and checked again before each
+ * order. Orders are sent one after the other. A round ends with the first order that is not
+ * accepted: a conflict may mean that another process holds the duties, which the next confirmation
+ * shows. An order without an answer may still be carried out, so it is recorded like one that was
+ * accepted, and what the endpoint table shows later decides.
+ *
+ * <p>Services with fixed numbers of servers are left alone.
+ */
+public final class ServerScaler {
+    /** Interval at which {@link #sample} is called. */
+    public static final Duration SAMPLE_INTERVAL = Duration.ofMillis(200);
+
+    /** Interval at which {@link #plan} is called. */
+    public static final Duration PLAN_INTERVAL = Duration.ofSeconds(1);
+
+    /** Pause after an order that the platform did not answer or did not take. */
+    private static final Duration PAUSE = Duration.ofSeconds(2);
+
+    /** Pause after a conflict that only another holder of the duties explains. */
+    private static final Duration CONFLICT_PAUSE = Duration.ofSeconds(10);
+
+    /** Bounds the calls to the platform, which accepts a limited number a second in all. */
+    private static final int MAX_ORDERS_PER_ROUND = 12;
+
+    private static final int MAX_ROLE_CHANGES_PER_ROUND = 1;
+    private static final Duration DEFAULT_TARGET_LATENCY = Duration.ofSeconds(1);
+
+    private final Clock mClock;
+    private final Router mRouter;
+    private final DutyHolder mHolder;
+    private final DutyClient mClient;
+    private final RoleChanger mRoleChanger;
+    private final DecisionLog mLog;
+    private final Map<String, ScaledService> mServices = new TreeMap<>();
+    private List<EndpointDescription> mEndpoints = List.of();
+    private boolean mIsOrdering;
+    private Optional<Long> mPausedUntilNanos = Optional.empty();
+
+    /** Changes the role of one engine. */
+    public interface RoleChanger {
+        /**
+         * Requests one more engine of a role.
+         *
+         * @return whether the request is being carried out
+         */
+        boolean requestRole(String service, EndpointRole role, List<EndpointDescription> engines);
+    }
+
+    /** An order of a round. */
+    private record Step(ScaledService service, ServerPlan.PoolOrder order) {}
+
+    private ServerScaler(
+            Clock clock,
+            Router router,
+            DutyHolder holder,
+            DutyClient client,
+            RoleChanger roleChanger,
+            DecisionLog log) {
+        mClock = clock;
+        mRouter = router;
+        mHolder = holder;
+        mClient = client;
+        mRoleChanger = roleChanger;
+        mLog = log;
+    }
+
+    /** Returns a scaler without services. */
+    public static ServerScaler create(
+            Clock clock,
+            Router router,
+            DutyHolder holder,
+            DutyClient client,
+            RoleChanger roleChanger,
+            DecisionLog log) {
+        return new ServerScaler(clock, router, holder, client, roleChanger, log);
+    }
+
+    /**
+     * Takes the terms of a configuration. A service of plain endpoints is left alone: how many
+     * requests one of them processes at once is not configured.
+     */
+    public void configure(ServingConfiguration configuration) {
+        Collection<ServiceDescription> services = configuration.services();
+        mServices
+                .keySet()
+                .retainAll(
+                        services.stream()
+                                .filter(ServerScaler::isScalable)
+                                .map(ServiceDescription::name)
+                                .toList());
+        for (ServiceDescription service : services) {
+            if (isScalable(service)) {
+                configure(
+                        service,
+                        configuration
+                                .shortestTargetLatency(service.name())
+                                .orElse(DEFAULT_TARGET_LATENCY));
+            }
+        }
+    }
+
+    private static boolean isScalable(ServiceDescription service) {
+        return service.isEngine()
+                && service.scalingTerms().filter(terms -> terms.concurrency() > 0).isPresent();
+    }
+
+    private void configure(ServiceDescription description, Duration targetLatency) {
+        ScaledService service = mServices.get(description.name());
+        if (service == null) {
+            service =
+                    new ScaledService(
+                            mClock,
+                            description.name(),
+                            description.scalingTerms().orElseThrow(),
+                            targetLatency);
+            service.updateEndpoints(mEndpoints);
+            mServices.put(description.name(), service);
+        } else {
+            service.configure(description.scalingTerms().orElseThrow(), targetLatency);
+        }
+    }
+
+    /** Returns whether the servers and roles of a service are planned here. */
+    public boolean manages(String service) {
+        return mServices.containsKey(service);
+    }
+
+    /** Replaces the list of endpoints. */
+    public void updateEndpoints(List<EndpointDescription> endpoints) {
+        mEndpoints = endpoints;
+        mServices.values().forEach(service -> service.updateEndpoints(endpoints));
+    }
+
+    /** Measures the load; every process does so. */
+    public void sample() {
+        mServices.values().forEach(service -> service.sample(mRouter));
+    }
+
+    /** Plans and starts a round of orders if this process holds the duties. */
+    public void plan() {
+        if (mIsOrdering || isPaused() || !mHolder.isHolder()) {
+            return;
+        }
+        Queue<Step> steps = new ArrayDeque<>();
+        for (ScaledService service : mServices.values()) {
+            changeRoles(service);
+            ServerPlan plan = service.plan();
+            if (!plan.orders().isEmpty()) {
+                logPlan(service, plan);
+            }
+            plan.orders().forEach(order -> steps.add(new Step(service, order)));
+        }
+        if (steps.isEmpty()) {
+            return;
+        }
+        mIsOrdering = true;
+        mHolder.confirm()
+                .whenComplete(
+                        (right, failure) -> {
+                            if (failure != null || right.isEmpty()) {
+                                mIsOrdering = false;
+                            } else {
+                                sendNext(steps, right.get(), MAX_ORDERS_PER_ROUND);
+                            }
+                        });
+    }
+
+    private boolean isPaused() {
+        return mPausedUntilNanos.map(until -> until - mClock.nanoTime() > 0).orElse(false);
+    }
+
+    private void pause(Duration time) {
+        mPausedUntilNanos = Optional.of(mClock.nanoTime() + time.toNanos());
+    }
+
+    private void changeRoles(ScaledService service) {
+        for (int i = 0; i < MAX_ROLE_CHANGES_PER_ROUND; i++) {
+            Optional<EndpointRole> role = service.neededRole();
+            boolean isRequested =
+                    role.isPresent()
+                            && mRoleChanger.requestRole(
+                                    service.name(), role.get(), service.roleCandidates());
+            if (!isRequested) {
+                return;
+            }
+            service.roleRequested(role.get());
+        }
+    }
+
+    private void sendNext(Queue<Step> steps, DutyRight right, int allowed) {
+        if (steps.isEmpty() || allowed == 0 || !mHolder.isUsable(right)) {
+            mIsOrdering = false;
+            return;
+        }
+        Step step = steps.remove();
+        ServerPlan.PoolOrder order = step.order();
+        step.service()
+                .ledger()
+                .ordered(
+                        order.pool(),
+                        order.count(),
+                        order.present(),
+                        step.service().terms().startTime());
+        ServerOrder call =
+                new ServerOrder(
+                        step.service().name(),
+                        order.pool().failureDomain(),
+                        order.pool().isReclaimable(),
+                        order.count());
+        mClient.orderServers(call, right)
+                .whenComplete(
+                        (result, failure) -> {
+                            boolean mayContinue =
+                                    failure == null
+                                            ? answered(step, right, result)
+                                            : failed(step, right, failure);
+                            if (mayContinue) {
+                                sendNext(steps, right, allowed - 1);
+                            } else {
+                                mIsOrdering = false;
+                            }
+                        });
+    }
+
+    /** Records the answer to an order and returns whether the round goes on. */
+    private boolean answered(Step step, DutyRight right, DutyResult result) {
+        mLog.record(entry(Decision.SERVERS_ORDERED, step, right).with("result", result));
+        switch (result) {
+            case ACCEPTED -> {
+                step.service().ledger().accepted(step.order().pool());
+                return true;
+            }
+            case CONFLICT -> {
+                step.service().ledger().refused(step.order().pool());
+                // Servers can always be given back, so the platform has seen another holder.
+                boolean isGiveBack = step.order().count() < step.order().present();
+                if (isGiveBack) {
+                    pause(CONFLICT_PAUSE);
+                }
+            }
+            default -> {
+                step.service().ledger().notOrdered(step.order().pool());
+                pause(PAUSE);
+            }
+        }
+        return false;
+    }
+
+    private boolean failed(Step step, DutyRight right, Throwable failure) {
+        mLog.record(
+                entry(Decision.SERVERS_IN_DOUBT, step, right)
+                        .with("cause", String.valueOf(SesamedeckException.from(failure))));
+        pause(PAUSE);
+        return false;
+    }
+
+    private LogEntry entry(Decision decision, Step step, DutyRight right) {
+        return LogEntry.of(decision, mClock.nanoTime())
+                .with("service", step.service().name())
+                .with("failureDomain", step.order().pool().failureDomain())
+                .with("isReclaimable", step.order().pool().isReclaimable())
+                .with("present", step.order().present())
+                .with("count", step.order().count())
+                .with("fencingNumber", right.fencingNumber());
+    }
+
+    private void logPlan(ScaledService service, ServerPlan plan) {
+        mLog.record(
+                LogEntry.of(Decision.SERVERS_PLANNED, mClock.nanoTime())
+                        .with("service", service.name())
+                        .with("neededForPrompts", plan.need().prefill())
+                        .with("neededForResponses", plan.need().decode())
+                        .with("isLoadKnown", plan.need().isSettled())
+                        .with("serving", plan.serving())
+                        .with("expected", plan.expected())
+                        .with("reclaimable", service.counts().reclaimable())
+                        .with("prefill", service.counts().of(EndpointRole.PREFILL))
+                        .with("decode", service.counts().of(EndpointRole.DECODE))
+                        .with("unavailable", service.ledger().unavailable().size())
+                        .with("orders", plan.orders().size()));
+    }
+
+    /** Adds the number of servers by service in the Prometheus text format. */
+    public void write(MetricsText text) {
+        for (ScaledService service : mServices.values()) {
+            String name = service.name();
+            text.value("sesamedeck_servers_serving", "service", name, service.counts().total());
+            text.value(
+                    "sesamedeck_servers_reclaimable",
+                    "service",
+                    name,
+                    service.counts().reclaimable());
+            text.value("sesamedeck_servers_needed", "service", name, service.need().total());
+        }
+    }
+}
--- a/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
@@ -164,4 +164,33 @@
         mScheduler.runDue();
         assertThat(mCommands, empty());
     }
+
+    /** Guards against one command in nine seconds while new servers bring the wrong roles. */
+    @Test
+    void processThatWroteLastSendsItsNextCommandSoon() {
+        RoleCoordinator coordinator = coordinator("host-a", mStore);
+        for (int i = 0; i < 3; i++) {
+            requestRole(coordinator);
+            mScheduler.advance(Duration.ofSeconds(1));
+        }
+        assertThat(mCommands, hasSize(3));
+        assertThat(mCommands.get(2).fencingNumber(), greaterThan(mCommands.get(1).fencingNumber()));
+    }
+
+    /** Guards against commands of two processes in turn when the first one comes back. */
+    @Test
+    void processThatWroteEarlierWaitsForQuietPeriodOfTheOther() {
+        RoleCoordinator first = coordinator("host-a", mStore);
+        RoleCoordinator second = coordinator("host-b", mStore.anotherClient());
+        requestRole(first);
+        requestRole(second);
+        mScheduler.advance(Duration.ofSeconds(10));
+        requestRole(second);
+        assertThat(mCommands, hasSize(2));
+        for (int i = 0; i < 8; i++) {
+            requestRole(first);
+            mScheduler.advance(Duration.ofSeconds(1));
+        }
+        assertThat(mCommands, hasSize(2));
+    }
 }
--- a/request/src/main/java/org/sesamedeck/request/ServingConfiguration.java
+++ b/request/src/main/java/org/sesamedeck/request/ServingConfiguration.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.request;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -88,6 +89,18 @@
         return Optional.ofNullable(mServices.get(name));
     }
 
+    /** Returns the shortest target latency of the routes to a service, if any leads there. */
+    public Optional<Duration> shortestTargetLatency(String service) {
+        return mRoutesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(
+                        route ->
+                                route.shares().stream()
+                                        .anyMatch(share -> share.service().equals(service)))
+                .map(Route::targetLatency)
+                .min(Comparator.naturalOrder());
+    }
+
     /**
      * Returns the route with the longest prefix that matches the path.
      *
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/OrderLedger.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/OrderLedger.java
@@ -58,8 +58,14 @@
         mRefusals.remove(pool);
     }
 
+    /** Records that an order was certainly not carried out. */
+    public void notOrdered(ServerPool pool) {
+        mOrders.remove(pool);
+    }
+
     /** Records that no servers are available; each refusal in a row doubles the time. */
     public void refused(ServerPool pool) {
+        mOrders.remove(pool);
         Duration time =
                 Optional.ofNullable(mRefusals.get(pool))
                         .map(refusal -> refusal.time().multipliedBy(2))
