--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
@@ -89,8 +89,8 @@
         mReclaimed = reclaimed;
     }
 
-    void sample(Router router) {
-        router.phaseLoad(mName, mCounts::of)
+    void sample(Router router, int processes) {
+        router.phaseLoad(mName, processes, mCounts::of)
                 .ifPresent(load -> mEstimator.observeLoad(load, mCounts, mTargetLatency));
     }
 
--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
@@ -65,6 +65,7 @@
     private final DecisionLog mLog;
     private final Map<String, ScaledService> mServices = new TreeMap<>();
     private List<EndpointDescription> mEndpoints = List.of();
+    private int mProcesses = 1;
     private boolean mIsOrdering;
     private Optional<Long> mPausedUntilNanos = Optional.empty();
 
@@ -163,9 +164,14 @@
         mServices.values().forEach(service -> service.updateEndpoints(endpoints));
     }
 
+    /** Sets the number of processes that send work, including this one. */
+    public void updateProcesses(int processes) {
+        mProcesses = processes;
+    }
+
     /** Measures the load; every process does so. */
     public void sample() {
-        mServices.values().forEach(service -> service.sample(mRouter));
+        mServices.values().forEach(service -> service.sample(mRouter, mProcesses));
     }
 
     /** Plans and starts a round of orders if this process holds the duties. */
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -253,10 +253,11 @@
     }
 
     @Override
-    public Optional<PhaseLoad> phaseLoad(String service, ToIntFunction<EndpointRole> engines) {
+    public Optional<PhaseLoad> phaseLoad(
+            String service, int processes, ToIntFunction<EndpointRole> engines) {
         PhaseLoadSum sum = new PhaseLoadSum();
         for (EndpointState state : mTable.pool(service).all()) {
-            Optional<EndpointLoad> load = state.fleetLoad(mProcesses);
+            Optional<EndpointLoad> load = state.fleetLoad(processes);
             if (load.isEmpty()) {
                 return Optional.empty();
             }
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -94,9 +94,11 @@
      * the engines outside of this router's subset; empty while the load of the other processes is
      * unknown.
      *
+     * @param processes number of processes that send work, including this one
      * @param engines number of engines of the service by role
      */
-    default Optional<PhaseLoad> phaseLoad(String service, ToIntFunction<EndpointRole> engines) {
+    default Optional<PhaseLoad> phaseLoad(
+            String service, int processes, ToIntFunction<EndpointRole> engines) {
         return Optional.empty();
     }
 
