--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -6,10 +6,14 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.Setting;
 import org.sesamedeck.core.Settings;
+import org.sesamedeck.gateway.duty.DutyTiming;
+import org.sesamedeck.gateway.duty.StoreDutyHolder;
+import org.sesamedeck.gateway.scaling.ServerScaler;
 import org.sesamedeck.request.Decision;
 import org.sesamedeck.request.LogEntry;
 import org.sesamedeck.request.RequestHandler;
@@ -56,6 +60,8 @@
     private final EndpointDirectory mEndpointDirectory;
     private final RoleAdvisor mRoleAdvisor;
     private final RoleCoordinator mRoleCoordinator;
+    private final Optional<StoreDutyHolder> mDutyHolder;
+    private final Optional<ServerScaler> mServerScaler;
     private final PeerExchange mPeerExchange;
     private List<EndpointDescription> mKnownEndpoints = List.of();
     private volatile boolean mIsConfigured;
@@ -85,6 +91,12 @@
         mRoleCoordinator =
                 RoleCoordinator.create(
                         clock, mPlatform.objects(), mPlatform.engineCommandClient(), mLog, name);
+        mDutyHolder =
+                mPlatform.duties().isEmpty() ? Optional.empty() : Optional.of(dutyHolder(name));
+        mServerScaler =
+                mDutyHolder
+                        .filter(holder -> mPlatform.duties().contains(Duty.SERVERS))
+                        .map(this::serverScaler);
         mQuarantine =
                 PartQuarantine.create(
                         clock, name, new QuarantineLog(clock, mLog, this::quarantineChanged));
@@ -121,6 +133,31 @@
                         clock, EventLoopTimers.of(mControlLoop), mLog, this::endpointsChanged);
     }
 
+    private StoreDutyHolder dutyHolder(String name) {
+        return StoreDutyHolder.create(
+                mClock,
+                mPlatform.objects(),
+                EventLoopTimers.of(mControlLoop),
+                mLog,
+                dutyTiming(),
+                name,
+                new SecureRandom().nextLong());
+    }
+
+    private ServerScaler serverScaler(StoreDutyHolder holder) {
+        return ServerScaler.create(
+                mClock,
+                mRouter,
+                holder,
+                mPlatform.dutyClient(holder::isUsable, dutyTiming().callTimeout()),
+                mRoleCoordinator::requestRole,
+                mLog);
+    }
+
+    private DutyTiming dutyTiming() {
+        return new DutyTiming(mSettings.get(DutySettings.LEASE));
+    }
+
     private static EventLoop newEventLoop() {
         return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
@@ -189,6 +226,8 @@
                             ~seed);
                     registration.start();
                     follow(mPlatform.peers(), mPeerExchange, WatchPace.SLOW, seed + 1);
+                    mDutyHolder.ifPresent(StoreDutyHolder::start);
+                    mServerScaler.ifPresent(this::startScaling);
                 });
         mTrafficLoop.scheduleAtFixedRate(
                 mRoleAdvisor::check,
@@ -202,6 +241,15 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void startScaling(ServerScaler scaler) {
+        long sampleMillis = ServerScaler.SAMPLE_INTERVAL.toMillis();
+        long planMillis = ServerScaler.PLAN_INTERVAL.toMillis();
+        mControlLoop.scheduleAtFixedRate(
+                scaler::sample, sampleMillis, sampleMillis, TimeUnit.MILLISECONDS);
+        mControlLoop.scheduleAtFixedRate(
+                scaler::plan, planMillis, planMillis, TimeUnit.MILLISECONDS);
+    }
+
     private WatchPace pace(Setting<Duration> bound) {
         return WatchPace.within(mSettings.get(GatewaySettings.SETTLING_TIME), mSettings.get(bound));
     }
@@ -213,6 +261,7 @@
     }
 
     private void configurationReceived(ServingConfiguration configuration) {
+        mServerScaler.ifPresent(scaler -> scaler.configure(configuration));
         mTrafficLoop.execute(
                 () -> {
                     if (!mRequestHandler.configure(configuration)) {
@@ -229,6 +278,7 @@
     }
 
     private void endpointsChanged(List<EndpointDescription> endpoints) {
+        mServerScaler.ifPresent(scaler -> scaler.updateEndpoints(endpoints));
         mTrafficLoop.execute(
                 () -> {
                     mRouter.updateEndpoints(endpoints);
@@ -249,7 +299,13 @@
                         .filter(endpoint -> endpoint.isEngine())
                         .filter(endpoint -> endpoint.service().equals(service))
                         .toList();
-        mControlLoop.execute(() -> mRoleCoordinator.requestRole(service, role, engines));
+        mControlLoop.execute(
+                () -> {
+                    // The plan for ordered servers decides their roles, too.
+                    if (!mServerScaler.map(scaler -> scaler.manages(service)).orElse(false)) {
+                        mRoleCoordinator.requestRole(service, role, engines);
+                    }
+                });
     }
 
     /** The retry slack is shared by all processes; each uses an equal share of most of it. */
@@ -257,6 +313,7 @@
         double share =
                 mSettings.get(GatewaySettings.RETRY_SLACK) * RETRY_SLACK_FRACTION / processCount;
         double retryBurst = Math.max(mSettings.get(GatewaySettings.RETRY_BURST), share);
+        mServerScaler.ifPresent(scaler -> scaler.updateProcesses(processCount));
         mTrafficLoop.execute(() -> mRequestHandler.limitRetryBurst(retryBurst));
     }
 
@@ -280,6 +337,7 @@
         text.value("sesamedeck_caller_connections", mCallerServer.connections());
         text.value("sesamedeck_endpoint_connections_total", mEndpointClient.connectionsOpened());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
+        mServerScaler.ifPresent(scaler -> scaler.write(text));
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
         return text.toString();
     }
@@ -300,6 +358,7 @@
             return;
         }
         mIsStopping = true;
+        mControlLoop.execute(() -> mDutyHolder.ifPresent(StoreDutyHolder::stop));
         mLog.record(entry(Decision.STOPPING).with("active", mRequestHandler.activeRequests()));
         mTrafficLoop.execute(
                 () ->
--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
@@ -65,6 +65,7 @@
     private final DecisionLog mLog;
     private final Map<String, ScaledService> mServices = new TreeMap<>();
     private List<EndpointDescription> mEndpoints = List.of();
+    private long mConfigurationVersion = Long.MIN_VALUE;
     private int mProcesses = 1;
     private boolean mIsOrdering;
     private Optional<Long> mPausedUntilNanos = Optional.empty();
@@ -109,10 +110,14 @@
     }
 
     /**
-     * Takes the terms of a configuration. A service of plain endpoints is left alone: how many
-     * requests one of them processes at once is not configured.
+     * Takes the terms of a configuration that is newer than the last one. A service of plain
+     * endpoints is left alone: how many requests one of them processes at once is not configured.
      */
     public void configure(ServingConfiguration configuration) {
+        if (configuration.version() <= mConfigurationVersion) {
+            return;
+        }
+        mConfigurationVersion = configuration.version();
         Collection<ServiceDescription> services = configuration.services();
         mServices
                 .keySet()
