Planner waits until the servers have registered, and moves in larger steps

The servers seen in the first 6 s now count, and the most ordinary ones ever seen. Busy prefill engines were overestimated by the time of the calls (12 to 18 engines wanted where prompts waited 30 ms); an engine now counts as busy for the part of its prompts' time that they spend there. All processes read each change of the endpoint table (2,224 store calls instead of 1,382), so shortages below a tenth are left alone, changes come in larger steps, and a service without load is replaced in one.

--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
@@ -98,6 +98,12 @@
         return mEstimator.need(mTerms);
     }
 
+    /** Returns whether the servers have been seen for long enough to plan for them. */
+    boolean isKnown() {
+        mEstimator.observeServers(mCounts);
+        return mEstimator.isKnown();
+    }
+
     ServerPlan plan() {
         return ServerPlanner.plan(mTerms, mLedger, need(), mCounts);
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -185,11 +186,15 @@
             return;
         }
         Queue<Step> steps = new ArrayDeque<>();
+        List<Runnable> plans = new ArrayList<>();
         for (ScaledService service : mServices.values()) {
+            if (!service.isKnown()) {
+                continue;
+            }
             changeRoles(service);
             ServerPlan plan = service.plan();
             if (!plan.orders().isEmpty()) {
-                logPlan(service, plan);
+                plans.add(() -> logPlan(service, plan));
             }
             plan.orders().forEach(order -> steps.add(new Step(service, order)));
         }
@@ -203,6 +208,7 @@
                             if (failure != null || right.isEmpty()) {
                                 mIsOrdering = false;
                             } else {
+                                plans.forEach(Runnable::run);
                                 sendNext(steps, right.get(), MAX_ORDERS_PER_ROUND);
                             }
                         });
--- a/gateway/src/test/java/org/sesamedeck/gateway/scaling/ServerScalerTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/scaling/ServerScalerTest.java
@@ -152,6 +152,7 @@
     private void start() {
         configure(Optional.of(TERMS));
         mScaler.updateEndpoints(servers(12, 0));
+        mClock.advance(Duration.ofSeconds(6));
     }
 
     private void seconds(int count) {
--- a/routing/src/main/java/org/sesamedeck/routing/PhaseLoadSum.java
+++ b/routing/src/main/java/org/sesamedeck/routing/PhaseLoadSum.java
@@ -1,12 +1,22 @@
 package org.sesamedeck.routing;
 
+import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
 
-/** Sums the load of engines by role. */
+/**
+ * Sums the load of engines by role.
+ *
+ * <p>A prompt that is in progress for a process is at the engine for part of that time only, the
+ * rest being spent on the way. An engine with prompts in progress therefore counts as busy for the
+ * engine time of these prompts as a part of their whole time.
+ */
 final class PhaseLoadSum {
+    /** Time of a call besides the engine time of its prompt. */
+    private static final double CALL_OVERHEAD_NANOS = Duration.ofMillis(15).toNanos();
+
     private final Map<EndpointRole, Sum> mSums = new EnumMap<>(EndpointRole.class);
 
     /** Load of the engines of one role. */
@@ -21,11 +31,10 @@
         Sum sum = mSums.computeIfAbsent(role, key -> new Sum());
         sum.mEngines++;
         sum.mWaitingNanos += load.waitingNanos();
-        // A prefill engine processes one prompt after the other, so it is busy or idle.
-        if (role == EndpointRole.PREFILL) {
-            sum.mBusy += Math.min(1, load.running());
-        } else {
-            sum.mBusy += role == EndpointRole.MIXED && load.waitingNanos() > 0 ? 1 : 0;
+        if (role != EndpointRole.DECODE) {
+            sum.mBusy += load.waitingNanos() / (load.waitingNanos() + CALL_OVERHEAD_NANOS);
+        }
+        if (role != EndpointRole.PREFILL) {
             sum.mResponses += load.running();
         }
     }
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/LoadForecast.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/LoadForecast.java
@@ -76,6 +76,11 @@
         }
     }
 
+    /** Returns whether any load has been measured. */
+    boolean hasLoad() {
+        return mHasLoad;
+    }
+
     /** Returns whether load has been measured for the whole hold time and until now. */
     boolean isSettled() {
         long now = mClock.nanoTime();
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerCounts.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerCounts.java
@@ -55,6 +55,11 @@
         return mServing.values().stream().mapToInt(Integer::intValue).sum();
     }
 
+    /** Returns the number of servers that may not be reclaimed. */
+    public int ordinary() {
+        return total() - reclaimable();
+    }
+
     /** Returns the number of servers that may be reclaimed. */
     public int reclaimable() {
         return mServing.entrySet().stream()
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
@@ -1,7 +1,8 @@
 package org.sesamedeck.routing.scaling;
 
 import java.time.Duration;
-import java.util.Optional;
+import java.util.List;
+import java.util.OptionalLong;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.routing.EndpointRole;
 import org.sesamedeck.routing.PhaseLoad;
@@ -30,11 +31,17 @@
     /** A phase with a single engine is interrupted whenever that engine fails. */
     private static final int MIN_PER_PHASE = 2;
 
+    /** Time within which the servers of a deployment that starts register. */
+    private static final Duration REGISTRATION_TIME = Duration.ofSeconds(6);
+
+    private final Clock mClock;
     private final LoadForecast mPrefill;
     private final LoadForecast mDecode;
-    private Optional<ServerCounts> mFirstCounts = Optional.empty();
+    private ServerCounts mFirstCounts = ServerCounts.of(List.of(), "");
+    private OptionalLong mFirstSeenNanos = OptionalLong.empty();
 
     private ServerNeedEstimator(Clock clock) {
+        mClock = clock;
         mPrefill = new LoadForecast(clock);
         mDecode = new LoadForecast(clock);
     }
@@ -44,11 +51,33 @@
         return new ServerNeedEstimator(clock);
     }
 
-    /** Records the servers that are there; the first ones are the least until load is known. */
+    /**
+     * Records the servers that are there. The first ones are the least until load is known. Servers
+     * register one after the other when a deployment starts, and later this process may replace
+     * them by reclaimable ones, so the most that were seen early on count, and the most ordinary
+     * ones that were ever seen.
+     */
     public void observeServers(ServerCounts counts) {
-        if (mFirstCounts.isEmpty() && counts.total() > 0) {
-            mFirstCounts = Optional.of(counts);
+        if (counts.total() == 0) {
+            return;
+        }
+        long now = mClock.nanoTime();
+        if (mFirstSeenNanos.isEmpty()) {
+            mFirstSeenNanos = OptionalLong.of(now);
         }
+        boolean isMore =
+                isKnown()
+                        ? counts.ordinary() > mFirstCounts.total()
+                        : counts.total() > mFirstCounts.total();
+        if (isMore) {
+            mFirstCounts = counts;
+        }
+    }
+
+    /** Returns whether the servers have been seen for long enough to plan for them. */
+    public boolean isKnown() {
+        return mFirstSeenNanos.isPresent()
+                && mClock.nanoTime() - mFirstSeenNanos.getAsLong() >= REGISTRATION_TIME.toNanos();
     }
 
     /**
@@ -85,11 +114,14 @@
 
     private ServerNeed settled(int prefill, int decode) {
         if (mDecode.isSettled()) {
-            return new ServerNeed(prefill, decode, true);
+            return new ServerNeed(prefill, decode, true, false);
         }
-        int firstPrefill = mFirstCounts.map(first -> first.of(EndpointRole.PREFILL)).orElse(0);
-        int firstOthers = mFirstCounts.map(first -> first.total() - firstPrefill).orElse(0);
+        int firstPrefill = mFirstCounts.of(EndpointRole.PREFILL);
+        int firstOthers = mFirstCounts.total() - firstPrefill;
         return new ServerNeed(
-                Math.max(prefill, firstPrefill), Math.max(decode, firstOthers), false);
+                Math.max(prefill, firstPrefill),
+                Math.max(decode, firstOthers),
+                false,
+                !mDecode.hasLoad());
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerPlanner.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerPlanner.java
@@ -35,8 +35,14 @@
     private static final double ORDINARY_FRACTION = 0.1;
     private static final int MIN_ORDINARY = 2;
 
-    /** Fraction of the servers that start at the same time as replacements. */
-    private static final double STEP_FRACTION = 1.0 / 3;
+    /**
+     * Fraction of the servers that start at the same time as replacements. All processes read each
+     * change of the endpoint table, so changes come in few and large steps.
+     */
+    private static final double STEP_FRACTION = 0.5;
+
+    /** Shortage that is left alone, as a fraction of the need. */
+    private static final double TOLERATED_SHORTAGE = 0.1;
 
     /** Fraction of the servers that are given back at the same time: their caches are lost. */
     private static final double GIVE_BACK_FRACTION = 0.25;
@@ -124,8 +130,10 @@
 
     private void grow() {
         int starting = Math.max(0, mExpected.total() - mStaying.total());
-        int step = Math.max(1, (int) (mNeeded * STEP_FRACTION)) - starting;
-        int budget = Math.max(step, mNeeded - mExpected.total());
+        int shortage = mNeeded - mExpected.total();
+        int step = Math.max(1, (int) (mNeeded * (mNeed.isIdle() ? 1 : STEP_FRACTION))) - starting;
+        boolean isTolerated = shortage > 0 && shortage < mNeeded * TOLERATED_SHORTAGE;
+        int budget = isTolerated ? 0 : Math.max(step, shortage);
         for (int added = 0; added < budget; added++) {
             if (!addOne()) {
                 return;
@@ -161,25 +169,29 @@
 
     private void giveBack(Set<ServerPool> grown) {
         int leaving = mCounts.total() - mStaying.total();
-        int budget = Math.max(1, (int) (mCounts.total() * GIVE_BACK_FRACTION)) - leaving;
+        double fraction = mNeed.isIdle() ? 1 : GIVE_BACK_FRACTION;
+        int budget = Math.max(1, (int) (mCounts.total() * fraction)) - leaving;
+        int kept = Math.max(MIN_KEPT_SURPLUS, (int) (mNeeded * KEPT_SURPLUS));
+        boolean isLargeSurplus = mNeed.isSettled() && mStaying.total() > mNeeded + kept;
+        // Half of the surplus stays, so that the next swing orders nothing.
+        int goal = isLargeSurplus ? mNeeded + kept / 2 : mStaying.total();
         for (int removed = 0; removed < budget; removed++) {
-            if (!removeOne(grown)) {
+            if (!removeOne(grown, goal)) {
                 return;
             }
         }
     }
 
-    private boolean removeOne(Set<ServerPool> grown) {
+    private boolean removeOne(Set<ServerPool> grown, int goal) {
         int total = mStaying.total();
-        int kept = Math.max(MIN_KEPT_SURPLUS, (int) (mNeeded * KEPT_SURPLUS));
-        boolean isOrdinarySurplus =
-                mStaying.of(false) > ordinaryGoal()
-                        && total > mNeeded + (mTerms.offersReclaimable() ? 0 : kept);
-        if (isOrdinarySurplus) {
+        boolean isReplaced =
+                mTerms.offersReclaimable()
+                        && mStaying.of(false) > ordinaryGoal()
+                        && total > mNeeded;
+        if (isReplaced) {
             return removeIfCarried(false, grown);
         }
-        boolean isReclaimableSurplus = mNeed.isSettled() && total > mNeeded + kept;
-        return isReclaimableSurplus && removeIfCarried(true, grown);
+        return total > goal && removeIfCarried(mTerms.offersReclaimable(), grown);
     }
 
     /** Removes a server unless too few would remain after the loss of a domain. */
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/SimulatedServers.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/SimulatedServers.java
@@ -112,6 +112,9 @@
                     new PhaseLoad(busyPrefillEngines, 0, responses), counts(), TARGET_LATENCY);
         }
         carryOutLateOrders();
+        if (!mEstimator.isKnown()) {
+            return new ServerPlan(mEstimator.need(mTerms), 0, 0, List.of());
+        }
         ServerPlan plan = ServerPlanner.plan(mTerms, mLedger, mEstimator.need(mTerms), counts());
         plan.orders().forEach(this::order);
         return plan;
