--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -11,8 +11,7 @@
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.Setting;
 import org.sesamedeck.core.Settings;
-import org.sesamedeck.gateway.duty.DutyTiming;
-import org.sesamedeck.gateway.duty.StoreDutyHolder;
+import org.sesamedeck.gateway.duty.DutyService;
 import org.sesamedeck.gateway.scaling.ServerScaler;
 import org.sesamedeck.request.Decision;
 import org.sesamedeck.request.LogEntry;
@@ -60,9 +59,9 @@
     private final EndpointDirectory mEndpointDirectory;
     private final RoleAdvisor mRoleAdvisor;
     private final RoleCoordinator mRoleCoordinator;
-    private final Optional<StoreDutyHolder> mDutyHolder;
     private final Optional<ServerScaler> mServerScaler;
     private final PeerExchange mPeerExchange;
+    private final Optional<DutyService> mDuties;
     private List<EndpointDescription> mKnownEndpoints = List.of();
     private volatile boolean mIsConfigured;
     private volatile boolean mHasEndpoints;
@@ -91,12 +90,6 @@
         mRoleCoordinator =
                 RoleCoordinator.create(
                         clock, mPlatform.objects(), mPlatform.engineCommandClient(), mLog, name);
-        mDutyHolder =
-                mPlatform.duties().isEmpty() ? Optional.empty() : Optional.of(dutyHolder(name));
-        mServerScaler =
-                mDutyHolder
-                        .filter(holder -> mPlatform.duties().contains(Duty.SERVERS))
-                        .map(this::serverScaler);
         mQuarantine =
                 PartQuarantine.create(
                         clock, name, new QuarantineLog(clock, mLog, this::quarantineChanged));
@@ -110,6 +103,10 @@
                         settings.get(GatewaySettings.PEERS),
                         new SecureRandom().nextLong(),
                         this::processCountChanged);
+        mDuties = mPlatform.duties().isEmpty() ? Optional.empty() : Optional.of(duties(name));
+        mServerScaler =
+                mDuties.filter(duties -> mPlatform.duties().contains(Duty.SERVERS))
+                        .map(this::serverScaler);
         mRequestHandler =
                 RequestHandler.create(
                         clock,
@@ -119,7 +116,7 @@
                         requestSettings(settings),
                         mRoleAdvisor,
                         mQuarantine,
-                        UsageObserver.NONE);
+                        mDuties.map(DutyService::usageObserver).orElse(UsageObserver.NONE));
         HeaderCodec headerCodec = mPlatform.headerCodec();
         mEndpointClient = EndpointClient.create(mTrafficLoop, clock, headerCodec);
         mCallerServer =
@@ -133,29 +130,28 @@
                         clock, EventLoopTimers.of(mControlLoop), mLog, this::endpointsChanged);
     }
 
-    private StoreDutyHolder dutyHolder(String name) {
-        return StoreDutyHolder.create(
-                mClock,
-                mPlatform.objects(),
-                EventLoopTimers.of(mControlLoop),
-                mLog,
-                dutyTiming(),
-                name,
-                new SecureRandom().nextLong());
-    }
-
-    private ServerScaler serverScaler(StoreDutyHolder holder) {
+    private ServerScaler serverScaler(DutyService duties) {
         return ServerScaler.create(
                 mClock,
                 mRouter,
-                holder,
-                mPlatform.dutyClient(holder::isUsable, dutyTiming().callTimeout()),
+                duties.holder(),
+                duties.client(),
                 mRoleCoordinator::requestRole,
                 mLog);
     }
 
-    private DutyTiming dutyTiming() {
-        return new DutyTiming(mSettings.get(DutySettings.LEASE));
+    private DutyService duties(String name) {
+        DutyService.Environment environment =
+                new DutyService.Environment(
+                        mClock,
+                        EventLoopTimers.of(mControlLoop),
+                        mPlatform.objects(),
+                        mPeerExchange,
+                        mLog,
+                        mPlatform.duties(),
+                        name,
+                        new SecureRandom().nextLong());
+        return DutyService.create(environment, mSettings, mPlatform::dutyClient);
     }
 
     private static EventLoop newEventLoop() {
@@ -226,7 +222,7 @@
                             ~seed);
                     registration.start();
                     follow(mPlatform.peers(), mPeerExchange, WatchPace.SLOW, seed + 1);
-                    mDutyHolder.ifPresent(StoreDutyHolder::start);
+                    mDuties.ifPresent(DutyService::start);
                     mServerScaler.ifPresent(this::startScaling);
                 });
         mTrafficLoop.scheduleAtFixedRate(
@@ -339,6 +335,7 @@
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
         mServerScaler.ifPresent(scaler -> scaler.write(text));
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
+        mDuties.ifPresent(duties -> duties.write(text));
         return text.toString();
     }
 
@@ -358,8 +355,8 @@
             return;
         }
         mIsStopping = true;
-        mControlLoop.execute(() -> mDutyHolder.ifPresent(StoreDutyHolder::stop));
         mLog.record(entry(Decision.STOPPING).with("active", mRequestHandler.activeRequests()));
+        mControlLoop.execute(() -> mDuties.ifPresent(DutyService::stop));
         mTrafficLoop.execute(
                 () ->
                         GracefulShutdown.of(
@@ -374,8 +371,12 @@
     private void finishShutdown(Runnable onStopped) {
         mLog.record(entry(Decision.STOPPED).with("active", mRequestHandler.activeRequests()));
         mCallerServer.close();
-        mJsonLog.close();
-        onStopped.run();
+        mControlLoop.execute(
+                () -> {
+                    mDuties.ifPresent(DutyService::flush);
+                    mJsonLog.close();
+                    onStopped.run();
+                });
     }
 
     private LogEntry entry(Decision decision) {
--- a/request/src/test/java/org/sesamedeck/request/RequestFixture.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestFixture.java
@@ -38,6 +38,7 @@
     private final DefaultRouter mRouter;
     private final RequestHandler mHandler;
     private final List<RequestTrace> mTraces = new ArrayList<>();
+    private final List<String> mBegun = new ArrayList<>();
     private final Map<String, EndpointLoad> mPeerLoads = new HashMap<>();
     private int mRequests;
 
@@ -91,7 +92,7 @@
                                 1 << 20),
                         phases,
                         PartQuarantine.create(mClock, "node", QuarantineListener.ignoring()),
-                        UsageObserver.NONE);
+                        mBegun::add);
         mRouter.updateEndpoints(endpoints());
     }
 
@@ -127,6 +128,11 @@
     }
 
     static ServingConfiguration configuration(long version) {
+        return configuration(version, ClientAccounts.none(), false);
+    }
+
+    static ServingConfiguration configuration(
+            long version, ClientAccounts accounts, boolean isPublic) {
         List<Route> routes = new ArrayList<>();
         for (RequestKind kind : RequestKind.values()) {
             String service = kind.isStream() ? "models" : "books";
@@ -141,6 +147,7 @@
                             Duration.ofMillis(300),
                             1,
                             MAX_ATTEMPTS,
+                            isPublic,
                             List.of(new ServiceShare(service, 1))));
         }
         return ServingConfiguration.of(
@@ -149,7 +156,8 @@
                 List.of(
                         new ServiceDescription("books", false, 100),
                         new ServiceDescription("models", true, 100)),
-                TrafficLimits.initial());
+                TrafficLimits.initial(),
+                accounts);
     }
 
     static String path(RequestKind kind) {
@@ -167,6 +175,25 @@
     /** Starts a request whose prompt begins with the given parts and ends with one of its own. */
     RequestLifecycle start(
             String path, OptionalLong lastEvent, List<PromptPart> sharedParts, RecordingPort port) {
+        return start(path, Optional.empty(), lastEvent, sharedParts, port);
+    }
+
+    /** Starts a request that carries the key of a client account. */
+    RequestLifecycle startWithKey(RequestKind kind, String key, RecordingPort port) {
+        return start(
+                path(kind) + "x",
+                Optional.of(key),
+                OptionalLong.empty(),
+                List.of(new PromptPart(1, 3_000)),
+                port);
+    }
+
+    private RequestLifecycle start(
+            String path,
+            Optional<String> key,
+            OptionalLong lastEvent,
+            List<PromptPart> sharedParts,
+            RecordingPort port) {
         mRequests++;
         List<PromptPart> parts = new ArrayList<>(sharedParts);
         parts.add(new PromptPart(OWN_PARTS_START + mRequests, 1_000));
@@ -175,6 +202,7 @@
                         "request-" + mRequests,
                         HOST,
                         path,
+                        key,
                         Optional.of(Duration.ofSeconds(10)),
                         Optional.of("m"),
                         4_000,
@@ -202,6 +230,11 @@
         return mTraces.get(mTraces.size() - 1);
     }
 
+    /** Returns the accounts whose requests began to run, once for each request. */
+    List<String> begun() {
+        return mBegun;
+    }
+
     static ResponseHead head(int status) {
         return new ResponseHead(status, false, false, true, false, Optional.empty(), "head");
     }
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
@@ -28,6 +28,9 @@
     /** Bounds how many more prefill engines one measurement of a long wait asks for. */
     private static final double MAX_WAIT_FACTOR = 1.5;
 
+    /** Part of a server that is not worth another one. */
+    private static final double ROUNDING = 0.05;
+
     /** A phase with a single engine is interrupted whenever that engine fails. */
     private static final int MIN_PER_PHASE = 2;
 
@@ -106,12 +109,16 @@
     /** Returns the need until servers that are ordered now serve. */
     public ServerNeed need(ScalingTerms terms) {
         double busy = mPrefill.within(terms.startTime());
-        int prefill = (int) Math.ceil(busy / PREFILL_UTILIZATION);
+        int prefill = whole(busy / PREFILL_UTILIZATION);
         double places = Math.max(1, terms.concurrency()) * DECODE_UTILIZATION;
-        int decode = (int) Math.ceil(mDecode.within(terms.startTime()) / places);
+        int decode = whole(mDecode.within(terms.startTime()) / places);
         return settled(Math.max(MIN_PER_PHASE, prefill), Math.max(MIN_PER_PHASE, decode));
     }
 
+    private static int whole(double servers) {
+        return (int) Math.ceil(servers - ROUNDING);
+    }
+
     private ServerNeed settled(int prefill, int decode) {
         if (mDecode.isSettled()) {
             return new ServerNeed(prefill, decode, true, false);
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
@@ -61,7 +61,7 @@
         for (int count : new int[] {1, 3, 13, 18}) {
             mEstimator.observeServers(servers(count, 0));
             assertThat(mEstimator.isKnown(), is(false));
-            mClock.advance(Duration.ofSeconds(2));
+            mClock.advance(Duration.ofMillis(1_500));
         }
         assertThat(mEstimator.isKnown(), is(true));
         assertThat(need().total(), is(18));
