--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -12,6 +12,7 @@
 import org.sesamedeck.core.Setting;
 import org.sesamedeck.core.Settings;
 import org.sesamedeck.gateway.duty.DutyService;
+import org.sesamedeck.gateway.scaling.ServerScaler;
 import org.sesamedeck.request.Decision;
 import org.sesamedeck.request.LogEntry;
 import org.sesamedeck.request.RequestHandler;
@@ -58,6 +59,7 @@
     private final EndpointDirectory mEndpointDirectory;
     private final RoleAdvisor mRoleAdvisor;
     private final RoleCoordinator mRoleCoordinator;
+    private final Optional<ServerScaler> mServerScaler;
     private final PeerExchange mPeerExchange;
     private final Optional<DutyService> mDuties;
     private List<EndpointDescription> mKnownEndpoints = List.of();
@@ -106,6 +108,9 @@
                         new SecureRandom().nextLong(),
                         this::processCountChanged);
         mDuties = mPlatform.duties().isEmpty() ? Optional.empty() : Optional.of(duties(name));
+        mServerScaler =
+                mDuties.filter(duties -> mPlatform.duties().contains(Duty.SERVERS))
+                        .map(this::serverScaler);
         mRequestHandler =
                 RequestHandler.create(
                         clock,
@@ -129,6 +134,16 @@
                         clock, EventLoopTimers.of(mControlLoop), mLog, this::endpointsChanged);
     }
 
+    private ServerScaler serverScaler(DutyService duties) {
+        return ServerScaler.create(
+                mClock,
+                mRouter,
+                duties.holder(),
+                duties.client(),
+                mRoleCoordinator::requestRole,
+                mLog);
+    }
+
     private DutyService duties(String name) {
         DutyService.Environment environment =
                 new DutyService.Environment(
@@ -216,6 +231,7 @@
                             WatchSchedule.alone(WatchPace.SLOW),
                             seed + 1);
                     mDuties.ifPresent(DutyService::start);
+                    mServerScaler.ifPresent(this::startScaling);
                 });
         mTrafficLoop.scheduleAtFixedRate(
                 mRoleAdvisor::check,
@@ -229,6 +245,15 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void startScaling(ServerScaler scaler) {
+        long sampleMillis = ServerScaler.SAMPLE_INTERVAL.toMillis();
+        long planMillis = ServerScaler.PLAN_INTERVAL.toMillis();
+        mControlLoop.scheduleAtFixedRate(
+                scaler::sample, sampleMillis, sampleMillis, TimeUnit.MILLISECONDS);
+        mControlLoop.scheduleAtFixedRate(
+                scaler::plan, planMillis, planMillis, TimeUnit.MILLISECONDS);
+    }
+
     private WatchSchedule shared(Feed<?> feed, Setting<Duration> bound) {
         WatchPace pace =
                 WatchPace.within(
@@ -243,6 +268,7 @@
     }
 
     private void configurationReceived(ServingConfiguration configuration) {
+        mServerScaler.ifPresent(scaler -> scaler.configure(configuration));
         mTrafficLoop.execute(
                 () -> {
                     if (!mRequestHandler.configure(configuration)) {
@@ -259,6 +285,7 @@
     }
 
     private void endpointsChanged(List<EndpointDescription> endpoints) {
+        mServerScaler.ifPresent(scaler -> scaler.updateEndpoints(endpoints));
         mTrafficLoop.execute(
                 () -> {
                     mRouter.updateEndpoints(endpoints);
@@ -282,7 +309,13 @@
                                 endpoint ->
                                         mRouter.accepts(endpoint) ? endpoint : endpoint.asLeaving())
                         .toList();
-        mControlLoop.execute(() -> mRoleCoordinator.requestRole(service, role, engines));
+        mControlLoop.execute(
+                () -> {
+                    // The plan for ordered servers decides their roles, too.
+                    if (!mServerScaler.map(scaler -> scaler.manages(service)).orElse(false)) {
+                        mRoleCoordinator.requestRole(service, role, engines);
+                    }
+                });
     }
 
     /** The retry slack is shared by all processes; each uses an equal share of most of it. */
@@ -290,6 +323,7 @@
         double share =
                 mSettings.get(GatewaySettings.RETRY_SLACK) * RETRY_SLACK_FRACTION / processCount;
         double retryBurst = Math.max(mSettings.get(GatewaySettings.RETRY_BURST), share);
+        mServerScaler.ifPresent(scaler -> scaler.updateProcesses(processCount));
         mTrafficLoop.execute(() -> mRequestHandler.limitRetryBurst(retryBurst));
     }
 
@@ -315,6 +349,7 @@
         text.value("sesamedeck_endpoints_stated_leaving", mRouter.statedLeavingEndpoints());
         text.value("sesamedeck_endpoints_held_off", mRouter.heldEndpoints());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
+        mServerScaler.ifPresent(scaler -> scaler.write(text));
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
         mDuties.ifPresent(duties -> duties.write(text));
         return text.toString();
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.ToIntFunction;
 import org.sesamedeck.core.Clock;
 
 /**
@@ -284,7 +285,7 @@
 
     /** Returns the number of endpoints that have asked for no requests and are held off now. */
     public long heldEndpoints() {
-        return mTable.states().values().stream().filter(EndpointState::isHeld).count();
+        return mTable.states().values().stream().filter(state -> state.hold().isActive()).count();
     }
 
     @Override
@@ -318,6 +319,20 @@
                                         loads.getOrDefault(name, new EndpointLoad(name, 0, 0))));
     }
 
+    @Override
+    public Optional<PhaseLoad> phaseLoad(
+            String service, int processes, ToIntFunction<EndpointRole> engines) {
+        PhaseLoadSum sum = new PhaseLoadSum();
+        for (EndpointState state : mTable.pool(service).all()) {
+            Optional<EndpointLoad> load = state.fleetLoad(processes);
+            if (load.isEmpty()) {
+                return Optional.empty();
+            }
+            sum.add(state.description().role(), load.get());
+        }
+        return sum.extendedTo(engines);
+    }
+
     @Override
     public void markLeaving(String endpoint) {
         EndpointState state = mTable.state(endpoint);
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -1,6 +1,7 @@
 package org.sesamedeck.routing;
 
 import java.util.ArrayDeque;
+import java.util.Optional;
 import org.sesamedeck.core.Clock;
 
 /**
@@ -55,6 +56,7 @@
     private final Clock mClock;
     private final EngineTraits mTraits;
     private final CircuitBreaker mBreaker;
+    private final EndpointHold mHold;
     private final WorkTimeModels mModels;
     private final SpeedEstimate mSpeed;
     private final ArrayDeque<RoutedAssignment> mAssignmentsSinceReport = new ArrayDeque<>();
@@ -63,8 +65,6 @@
     private volatile boolean mMarkedLeaving;
     private volatile long mMarkedAtNanos;
     private volatile boolean mStatedLeaving;
-    private volatile boolean mIsHeld;
-    private volatile long mHeldUntilNanos;
     private boolean mHasReport;
     private long mReportedAtNanos;
     private double mReportedPromptNanos;
@@ -91,6 +91,7 @@
             SpeedEstimate speed) {
         mClock = clock;
         mBreaker = CircuitBreaker.create(clock);
+        mHold = new EndpointHold(clock);
         mTraits = settings.traits();
         mDescription = description;
         mModels = models;
@@ -138,33 +139,18 @@
         return mStatedLeaving || mMarkedLeaving || mDescription.isLeaving();
     }
 
-    /**
-     * Sends the endpoint nothing, not even a probe of the circuit breaker, until the given time. An
-     * earlier end than that of the current hold is ignored, since both were asked for.
-     *
-     * @return whether the hold is new or ends later than before
-     */
-    synchronized boolean holdUntil(long untilNanos) {
-        if (isHeld() && untilNanos - mHeldUntilNanos <= 0) {
-            return false;
-        }
-        mHeldUntilNanos = untilNanos;
-        mIsHeld = true;
-        return true;
-    }
-
-    boolean isHeld() {
-        return mIsHeld && mClock.nanoTime() - mHeldUntilNanos < 0;
+    /** Returns the hold that the endpoint has asked for. */
+    EndpointHold hold() {
+        return mHold;
     }
 
     /** Returns the time until a request may be sent; 0 when it may be sent now or is unknown. */
     long nanosUntilUsable() {
-        long held = isHeld() ? mHeldUntilNanos - mClock.nanoTime() : 0;
-        return Math.max(0, Math.max(held, mBreaker.nanosUntilProbe()));
+        return Math.max(0, Math.max(mHold.remainingNanos(), mBreaker.nanosUntilProbe()));
     }
 
     boolean isUsable() {
-        return !isLeaving() && !mDescription.isChanging() && !isHeld() && mBreaker.allows();
+        return !isLeaving() && !mDescription.isChanging() && !mHold.isActive() && mBreaker.allows();
     }
 
     synchronized void report(LoadReport report) {
@@ -202,6 +188,24 @@
                 mDescription.name(), (long) Math.max(0, mOwnUnstartedNanos), mOwnRunning);
     }
 
+    /**
+     * Returns the load of all processes; empty if that of the others is unknown.
+     *
+     * @param processes number of processes that send work, including this one
+     */
+    synchronized Optional<EndpointLoad> fleetLoad(int processes) {
+        EndpointLoad own = ownLoad();
+        if (processes <= 1) {
+            return Optional.of(own);
+        }
+        return knowsPeerLoad()
+                ? Optional.of(
+                        own.plus(
+                                new EndpointLoad(
+                                        own.endpoint(), (long) mPeerWaitingNanos, mPeerRunning)))
+                : Optional.empty();
+    }
+
     private boolean knowsPeerLoad() {
         return mHasPeerLoad && mClock.nanoTime() - mPeerLoadAtNanos < MAX_PEER_LOAD_AGE_NANOS;
     }
