Fewer role changes, and needs from what the router admits

Roles now change beyond a fifth of the engines only. The overhead of a call is taken as the 30 ms of PhaseBalance, the need for responses follows the token interval limit by which the router admits them and counts prompts in progress, the onset of the load is no trend, and a load is extended only where it exceeds its earlier peaks by a twentieth: the forecast had ordered five servers and given them back at every few waves.

--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
@@ -91,7 +91,7 @@
 
     void sample(Router router, int processes) {
         router.phaseLoad(mName, processes, mCounts::of)
-                .ifPresent(load -> mEstimator.observeLoad(load, mCounts, mTargetLatency));
+                .ifPresent(load -> mEstimator.observeLoad(load, mTerms, mCounts, mTargetLatency));
     }
 
     ServerNeed need() {
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -261,11 +261,17 @@
             if (load.isEmpty()) {
                 return Optional.empty();
             }
-            sum.add(state.description().role(), load.get());
+            sum.add(state.description().role(), load.get(), capacity(state));
         }
         return sum.extendedTo(engines);
     }
 
+    private double capacity(EndpointState state) {
+        return mSettings.traits().tokenIntervalLimitNanos() <= 0
+                ? Double.POSITIVE_INFINITY
+                : state.decodeCapacity();
+    }
+
     @Override
     public void markLeaving(String endpoint) {
         EndpointState state = mTable.state(endpoint);
--- a/routing/src/main/java/org/sesamedeck/routing/PhaseLoadSum.java
+++ b/routing/src/main/java/org/sesamedeck/routing/PhaseLoadSum.java
@@ -15,7 +15,7 @@
  */
 final class PhaseLoadSum {
     /** Time of a call besides the engine time of its prompt. */
-    private static final double CALL_OVERHEAD_NANOS = Duration.ofMillis(15).toNanos();
+    private static final double CALL_OVERHEAD_NANOS = Duration.ofMillis(30).toNanos();
 
     private final Map<EndpointRole, Sum> mSums = new EnumMap<>(EndpointRole.class);
 
@@ -25,18 +25,19 @@
         private double mBusy;
         private double mWaitingNanos;
         private double mResponses;
+        private double mCapacity;
     }
 
-    void add(EndpointRole role, EndpointLoad load) {
+    /** Adds an engine with the number of responses that it can generate. */
+    void add(EndpointRole role, EndpointLoad load, double capacity) {
         Sum sum = mSums.computeIfAbsent(role, key -> new Sum());
         sum.mEngines++;
         sum.mWaitingNanos += load.waitingNanos();
         if (role != EndpointRole.DECODE) {
             sum.mBusy += load.waitingNanos() / (load.waitingNanos() + CALL_OVERHEAD_NANOS);
         }
-        if (role != EndpointRole.PREFILL) {
-            sum.mResponses += load.running();
-        }
+        sum.mResponses += load.running();
+        sum.mCapacity += capacity;
     }
 
     /**
@@ -50,6 +51,8 @@
         double responses = 0;
         double waitingNanos = 0;
         int processors = 0;
+        double capacity = 0;
+        int decoders = 0;
         for (Map.Entry<EndpointRole, Sum> entry : mSums.entrySet()) {
             Sum sum = entry.getValue();
             double factor = Math.max(1, engines.applyAsInt(entry.getKey()) / (double) sum.mEngines);
@@ -59,10 +62,19 @@
                 waitingNanos += sum.mWaitingNanos;
                 processors += sum.mEngines;
             }
+            if (entry.getKey() != EndpointRole.PREFILL) {
+                capacity += sum.mCapacity;
+                decoders += sum.mEngines;
+            }
+        }
+        if (mSums.isEmpty()) {
+            return Optional.empty();
         }
-        return mSums.isEmpty()
-                ? Optional.empty()
-                : Optional.of(
-                        new PhaseLoad(busy, waitingNanos / Math.max(1, processors), responses));
+        return Optional.of(
+                new PhaseLoad(
+                        busy,
+                        waitingNanos / Math.max(1, processors),
+                        responses,
+                        decoders == 0 ? Double.POSITIVE_INFINITY : capacity / decoders));
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/LoadForecast.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/LoadForecast.java
@@ -18,11 +18,17 @@
     static final Duration HOLD_TIME = Duration.ofSeconds(16);
 
     private static final long BUCKET_NANOS = Duration.ofSeconds(1).toNanos();
-    private static final double SMOOTHING_NANOS = Duration.ofMillis(1_500).toNanos();
+    private static final double SMOOTHING_NANOS = Duration.ofMillis(1_000).toNanos();
 
     /** Buckets between the values whose difference is the trend; one is too noisy. */
     private static final int TREND_BUCKETS = 2;
 
+    /** Until then, the smoothed value only approaches the load, which is no trend. */
+    private static final Duration ONSET_TIME = Duration.ofSeconds(5);
+
+    /** Factor by which a load must exceed its earlier peaks to be more than the next wave. */
+    private static final double MIN_EXCESS = 1.05;
+
     /** Bounds the extrapolation, since a steep rise seldom lasts for a whole start time. */
     private static final double MAX_GROWTH = 1.5;
 
@@ -100,7 +106,10 @@
                         .max()
                         .orElse(0);
         // A rise below an earlier peak is the next swing of the wave, which is prepared for.
-        return mSmoothed > highestEarlier ? Math.max(highest, extrapolated(startTime)) : highest;
+        boolean isOnset = mClock.nanoTime() - mFirstLoadNanos < ONSET_TIME.toNanos();
+        return mSmoothed > highestEarlier * MIN_EXCESS && !isOnset
+                ? Math.max(highest, extrapolated(startTime))
+                : highest;
     }
 
     private double extrapolated(Duration startTime) {
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/RolePlan.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/RolePlan.java
@@ -8,8 +8,13 @@
  * bring a role that the platform chose, so the roles follow each order. Without state.
  */
 public final class RolePlan {
-    /** Deviation from the need that is accepted; an engine is out of service while it changes. */
-    private static final double TOLERANCE = 0.1;
+    /**
+     * Deviation from the need that is accepted, as a fraction of the engines. An engine refuses
+     * work for seconds while it changes, and a request that may be sent once only is then lost.
+     */
+    private static final double TOLERANCE = 0.2;
+
+    private static final double MIN_TOLERANCE = 2;
 
     private RolePlan() {}
 
@@ -24,7 +29,7 @@
         int engines = prefill + decode;
         double share = need.prefill() / (double) Math.max(1, need.total());
         double missing = engines * share - prefill;
-        double tolerated = Math.max(1, engines * TOLERANCE);
+        double tolerated = Math.max(MIN_TOLERANCE, engines * TOLERANCE);
         if (missing >= tolerated) {
             return Optional.of(EndpointRole.PREFILL);
         }
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
@@ -13,13 +13,14 @@
  *
  * <p>The thresholds follow from what callers notice. A prefill engine processes one prompt after
  * the other, so the wait of a short prompt is that behind a long one, and grows without bound as
- * the engines approach saturation; at half of it most prompts find an idle engine. A decode engine
- * lengthens the token interval of all its responses as it fills, and needs places for a burst until
- * further servers have started. While the load has been measured for less than the hold time, no
- * fewer servers count as needed than were there first.
+ * the engines approach saturation; the peaks of the forecast stay at two thirds of it, so that on
+ * average most prompts find an idle engine. A decode engine lengthens the token interval of all its
+ * responses as it fills, and needs places for a burst until further servers have started. While the
+ * load has been measured for less than the hold time, no fewer servers count as needed than were
+ * there first.
  */
 public final class ServerNeedEstimator {
-    private static final double PREFILL_UTILIZATION = 0.5;
+    private static final double PREFILL_UTILIZATION = 0.65;
     private static final double DECODE_UTILIZATION = 0.6;
 
     /** Fraction of the target latency that prompts may wait on average. */
@@ -89,9 +90,11 @@
      * @param counts servers that are there now
      * @param targetLatency shortest target latency of the service's routes
      */
-    public void observeLoad(PhaseLoad load, ServerCounts counts, Duration targetLatency) {
+    public void observeLoad(
+            PhaseLoad load, ScalingTerms terms, ServerCounts counts, Duration targetLatency) {
         mPrefill.add(Math.max(load.busyPrefillEngines(), loadByWait(load, counts, targetLatency)));
-        mDecode.add(load.responses());
+        double places = Math.min(load.responsesPerEngine(), Math.max(1, terms.concurrency()));
+        mDecode.add(load.responses() / Math.max(1, places));
     }
 
     /**
@@ -110,8 +113,7 @@
     public ServerNeed need(ScalingTerms terms) {
         double busy = mPrefill.within(terms.startTime());
         int prefill = whole(busy / PREFILL_UTILIZATION);
-        double places = Math.max(1, terms.concurrency()) * DECODE_UTILIZATION;
-        int decode = whole(mDecode.within(terms.startTime()) / places);
+        int decode = whole(mDecode.within(terms.startTime()) / DECODE_UTILIZATION);
         return settled(Math.max(MIN_PER_PHASE, prefill), Math.max(MIN_PER_PHASE, decode));
     }
 
