--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -89,7 +89,11 @@
         mRoleAdvisor = new RoleAdvisor(clock, mLog, this::roleDesired);
         mRoleCoordinator =
                 RoleCoordinator.create(
-                        clock, mPlatform.objects(), mPlatform.engineCommandClient(), mLog, name);
+                        clock,
+                        mPlatform.objects(),
+                        new GuardedCommandClient(mPlatform.engineCommandClient(), mRouter::accepts),
+                        mLog,
+                        name);
         mQuarantine =
                 PartQuarantine.create(
                         clock, name, new QuarantineLog(clock, mLog, this::quarantineChanged));
@@ -213,15 +217,19 @@
                     follow(
                             mPlatform.configurations(),
                             listener,
-                            pace(GatewaySettings.CONFIGURATION_BOUND),
+                            shared(mPlatform.configurations(), GatewaySettings.CONFIGURATION_BOUND),
                             seed);
                     follow(
                             mPlatform.endpoints(),
                             mEndpointDirectory,
-                            pace(GatewaySettings.LEAVING_BOUND),
+                            shared(mPlatform.endpoints(), GatewaySettings.LEAVING_BOUND),
                             ~seed);
                     registration.start();
-                    follow(mPlatform.peers(), mPeerExchange, WatchPace.SLOW, seed + 1);
+                    follow(
+                            mPlatform.peers(),
+                            mPeerExchange,
+                            WatchSchedule.alone(WatchPace.SLOW),
+                            seed + 1);
                     mDuties.ifPresent(DutyService::start);
                     mServerScaler.ifPresent(this::startScaling);
                 });
@@ -246,14 +254,17 @@
                 scaler::plan, planMillis, planMillis, TimeUnit.MILLISECONDS);
     }
 
-    private WatchPace pace(Setting<Duration> bound) {
-        return WatchPace.within(mSettings.get(GatewaySettings.SETTLING_TIME), mSettings.get(bound));
+    private WatchSchedule shared(Feed<?> feed, Setting<Duration> bound) {
+        WatchPace pace =
+                WatchPace.within(
+                        mSettings.get(GatewaySettings.SETTLING_TIME), mSettings.get(bound));
+        return mPeerExchange.watchSchedule(feed.kind(), pace);
     }
 
     private <T> void follow(
-            Feed<T> feed, FeedFollower.Listener<T> listener, WatchPace pace, long seed) {
+            Feed<T> feed, FeedFollower.Listener<T> listener, WatchSchedule schedule, long seed) {
         EventLoopTimers timers = EventLoopTimers.of(mControlLoop);
-        FeedFollower.create(feed, mClock, timers, mLog, listener, pace, seed).start();
+        FeedFollower.create(feed, mClock, timers, mLog, listener, schedule, seed).start();
     }
 
     private void configurationReceived(ServingConfiguration configuration) {
@@ -294,6 +305,9 @@
                 mKnownEndpoints.stream()
                         .filter(endpoint -> endpoint.isEngine())
                         .filter(endpoint -> endpoint.service().equals(service))
+                        .map(
+                                endpoint ->
+                                        mRouter.accepts(endpoint) ? endpoint : endpoint.asLeaving())
                         .toList();
         mControlLoop.execute(
                 () -> {
@@ -332,6 +346,8 @@
         text.value("sesamedeck_requests_active", mRequestHandler.activeRequests());
         text.value("sesamedeck_caller_connections", mCallerServer.connections());
         text.value("sesamedeck_endpoint_connections_total", mEndpointClient.connectionsOpened());
+        text.value("sesamedeck_endpoints_stated_leaving", mRouter.statedLeavingEndpoints());
+        text.value("sesamedeck_endpoints_held_off", mRouter.heldEndpoints());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
         mServerScaler.ifPresent(scaler -> scaler.write(text));
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -29,6 +29,7 @@
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.gateway.duty.DutyMessageCodec;
 import org.sesamedeck.gateway.duty.DutyTransport;
+import org.sesamedeck.routing.FleetProgress;
 import org.sesamedeck.routing.LoadExchange;
 import org.sesamedeck.routing.LoadMessage;
 import org.sesamedeck.routing.OutgoingLoad;
@@ -67,6 +68,7 @@
     private final Clock mClock;
     private final PartQuarantine mQuarantine;
     private final Random mRandom;
+    private final FleetProgress mProgress;
     private final Map<String, InetSocketAddress> mPeers = new HashMap<>();
     private Optional<DutyTransport.Listener> mDutyListener = Optional.empty();
     private Channel mChannel;
@@ -95,6 +97,7 @@
         mOwnAddress = ownAddress;
         mExchange = LoadExchange.create(clock, node, incarnation);
         mRandom = new Random(incarnation);
+        mProgress = FleetProgress.create(clock);
     }
 
     /** Binds the datagram port; blocks until it is bound. */
@@ -113,7 +116,19 @@
         mLoop.execute(this::exchangeLoad);
     }
 
+    /**
+     * Returns the schedule on which this process follows a kind of objects that all processes
+     * follow.
+     *
+     * @param pace pace of a process that follows the objects on its own
+     */
+    WatchSchedule watchSchedule(String kind, WatchPace pace) {
+        return new FleetWatchSchedule(
+                kind, pace, mProgress, mExchange::isFullMesh, mExchange::isStoreWatcher);
+    }
+
     private void exchangeLoad() {
+        mExchange.updateStoreProgress(mExchange.isFullMesh() ? List.of() : mProgress.toTell());
         mExchange.round(mRouter.ownLoad(), mRouter.takePrefixUpdates()).forEach(this::send);
         mChannel.flush();
         mExchange.peerTotals().ifPresent(mRouter::updatePeerLoad);
@@ -224,6 +239,7 @@
             Optional<LoadMessage> load = LoadMessageCodec.decode(bytes);
             if (load.isPresent()) {
                 load.get().prefixUpdates().forEach(mRouter::applyPrefixUpdate);
+                mProgress.receive(load.get().storeProgress());
                 mExchange.receive(load.get());
             } else {
                 mQuarantine.receive(PartReportCodec.decode(bytes, mClock.nanoTime()));
--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -34,13 +35,16 @@
     private final String mName;
     private final OrderLedger mLedger;
     private final ServerNeedEstimator mEstimator;
-    private final Map<String, Long> mChangingUntilNanos = new HashMap<>();
+    private final Map<String, RoleChange> mRoleChanges = new HashMap<>();
     private ScalingTerms mTerms;
     private Duration mTargetLatency;
     private List<EndpointDescription> mEndpoints = List.of();
     private Set<String> mReclaimed = Set.of();
     private ServerCounts mCounts;
 
+    /** A command to an engine whose effect the endpoint table may not show yet. */
+    private record RoleChange(EndpointRole role, long endsAtNanos) {}
+
     ScaledService(Clock clock, String name, ScalingTerms terms, Duration targetLatency) {
         mClock = clock;
         mName = name;
@@ -110,36 +114,40 @@
 
     /** Returns the role of which one more engine is needed, if any. */
     Optional<EndpointRole> neededRole() {
-        List<EndpointDescription> engines = roleCandidates();
-        int prefill = 0;
-        int decode = 0;
+        forgetEndedChanges();
+        Map<EndpointRole, Integer> engines = new EnumMap<>(EndpointRole.class);
         for (EndpointDescription engine : mEndpoints) {
-            if (!engine.isLeaving() && engine.role() != EndpointRole.MIXED) {
-                boolean isChanging = !engines.contains(engine);
-                boolean isPrefill = (engine.role() == EndpointRole.PREFILL) != isChanging;
-                prefill += isPrefill ? 1 : 0;
-                decode += isPrefill ? 0 : 1;
+            if (!engine.isLeaving()) {
+                RoleChange change = mRoleChanges.get(engine.name());
+                engines.merge(change == null ? engine.role() : change.role(), 1, Integer::sum);
             }
         }
-        return RolePlan.neededRole(need(), prefill, decode);
+        return RolePlan.neededRole(
+                need(),
+                engines.getOrDefault(EndpointRole.PREFILL, 0),
+                engines.getOrDefault(EndpointRole.DECODE, 0));
     }
 
-    /** Returns the engines whose role is not about to change. */
-    List<EndpointDescription> roleCandidates() {
+    private void forgetEndedChanges() {
         long now = mClock.nanoTime();
-        mChangingUntilNanos.values().removeIf(until -> until - now <= 0);
+        mRoleChanges.values().removeIf(change -> change.endsAtNanos() - now <= 0);
+    }
+
+    /** Returns the engines whose role is not about to change and that accept work. */
+    List<EndpointDescription> roleCandidates(Router router) {
+        forgetEndedChanges();
         List<EndpointDescription> engines = new ArrayList<>(mEndpoints);
-        engines.removeIf(engine -> mChangingUntilNanos.containsKey(engine.name()));
+        engines.removeIf(engine -> mRoleChanges.containsKey(engine.name()));
+        engines.replaceAll(engine -> router.accepts(engine) ? engine : engine.asLeaving());
         return engines;
     }
 
     /** Records that the engine that fits best gets a command to change its role. */
-    void roleRequested(EndpointRole role) {
-        RoleChangeChoice.choose(roleCandidates(), role)
+    void roleRequested(Router router, EndpointRole role) {
+        long endsAtNanos = mClock.nanoTime() + ROLE_CHANGE_TIME.toNanos();
+        RoleChangeChoice.choose(roleCandidates(router), role)
                 .ifPresent(
                         engine ->
-                                mChangingUntilNanos.put(
-                                        engine.name(),
-                                        mClock.nanoTime() + ROLE_CHANGE_TIME.toNanos()));
+                                mRoleChanges.put(engine.name(), new RoleChange(role, endsAtNanos)));
     }
 }
--- a/gateway/src/test/java/org/sesamedeck/gateway/scaling/ServerScalerTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/scaling/ServerScalerTest.java
@@ -144,6 +144,7 @@
                             i % 2 == 0 ? EndpointRole.PREFILL : EndpointRole.DECODE,
                             Set.of(),
                             isReclaimable,
+                            Optional.empty(),
                             Optional.empty()));
         }
         return servers;
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -42,6 +43,9 @@
     private final SplittableRandom mRandom;
     private final PrefixIndex mPrefixes = PrefixIndex.create(PREFIX_CAPACITY);
     private final PrefixUpdateBuffer mPrefixUpdates = new PrefixUpdateBuffer();
+    private final EndpointExclusions mExclusions;
+    private final WorkTimeModels mModels;
+    private final SpeedEstimate.Factory mSpeeds;
     private volatile int mProcesses = 1;
     private volatile EndpointTable mTable = EndpointTable.empty();
 
@@ -49,13 +53,19 @@
             Clock clock,
             RouterSettings settings,
             EngineTimeEstimator estimator,
+            SpeedEstimate.Factory speeds,
             String name,
             long seed) {
         mClock = clock;
+        mModels = new WorkTimeModels(settings);
+        mSpeeds = speeds;
         mEstimator = estimator;
         mSettings = settings;
         mSubset = RendezvousSubset.of(name, settings);
         mRandom = new SplittableRandom(seed);
+        mExclusions =
+                new EndpointExclusions(
+                        clock, settings.traits().rolesAreStrict(), mRandom.nextLong());
     }
 
     /**
@@ -82,7 +92,18 @@
             EngineTimeEstimator estimator,
             String name,
             long seed) {
-        return new DefaultRouter(clock, settings, estimator, name, seed);
+        return new DefaultRouter(
+                clock, settings, estimator, () -> new LearnedSpeed(clock), name, seed);
+    }
+
+    /** Returns a router without endpoints that estimates their speed in another way. */
+    static DefaultRouter create(
+            Clock clock,
+            RouterSettings settings,
+            SpeedEstimate.Factory speeds,
+            String name,
+            long seed) {
+        return new DefaultRouter(clock, settings, EngineTimeEstimator.create(), speeds, name, seed);
     }
 
     /** Returns the index of prompt prefixes, which cache events of engines may correct. */
@@ -129,7 +150,7 @@
         if (best == null) {
             return OptionalLong.empty();
         }
-        double prompt = choice.bestUncachedTokens() * best.prefillNanosPerToken();
+        double prompt = best.promptNanos(choice.bestUncachedTokens());
         return OptionalLong.of((long) (best.expectedWaitNanos(mProcesses) + prompt));
     }
 
@@ -172,6 +193,10 @@
         if (mSettings.traits().tokenIntervalLimitNanos() <= 0 || !profile.isModelRequest()) {
             return DecodeCapacity.unlimited();
         }
+        if (mExclusions.areAllHeld(mTable.candidates(profile.target()))) {
+            // The requests are refused at once instead of being queued.
+            return DecodeCapacity.unlimited();
+        }
         double capacity = 0;
         double inProgress = 0;
         for (EndpointState state : mTable.candidates(profile.target()).all()) {
@@ -198,8 +223,17 @@
     }
 
     private EndpointState stateOf(EndpointState known, EndpointDescription endpoint) {
-        if (known == null || !known.description().address().equals(endpoint.address())) {
-            return new EndpointState(mClock, mSettings, endpoint);
+        boolean hasStatedLeaving = mExclusions.hasStatedLeaving(endpoint);
+        if (known == null || !known.description().isSameProcess(endpoint)) {
+            if (known != null) {
+                mPrefixes.removeEndpoint(endpoint.name());
+            }
+            EndpointState state =
+                    new EndpointState(mClock, mSettings, endpoint, mModels, mSpeeds.create());
+            if (hasStatedLeaving) {
+                state.statedLeaving();
+            }
+            return state;
         }
         if (known.description().role() != endpoint.role()) {
             mPrefixes.removeEndpoint(endpoint.name());
@@ -221,6 +255,39 @@
         }
     }
 
+    @Override
+    public synchronized Optional<EndpointExclusion> applySigns(
+            EndpointDescription endpoint, EndpointSigns signs) {
+        signs.load().ifPresent(load -> reportLoad(endpoint.name(), load));
+        return mExclusions.apply(endpoint, state(endpoint), signs);
+    }
+
+    private Optional<EndpointState> state(EndpointDescription endpoint) {
+        return Optional.ofNullable(mTable.state(endpoint.name()));
+    }
+
+    @Override
+    public boolean accepts(EndpointDescription endpoint) {
+        return mExclusions.accepts(endpoint, state(endpoint));
+    }
+
+    @Override
+    public Optional<Duration> timeUntilUsable(RequestProfile profile) {
+        return mExclusions.timeUntilUsable(mTable.candidates(profile.target()));
+    }
+
+    /** Returns the number of listed endpoints that have stated that they are leaving. */
+    public long statedLeavingEndpoints() {
+        return mTable.states().values().stream()
+                .filter(state -> mExclusions.hasStatedLeaving(state.description()))
+                .count();
+    }
+
+    /** Returns the number of endpoints that have asked for no requests and are held off now. */
+    public long heldEndpoints() {
+        return mTable.states().values().stream().filter(EndpointState::isHeld).count();
+    }
+
     @Override
     public List<EndpointLoad> ownLoad() {
         List<EndpointLoad> loads = new ArrayList<>();
@@ -257,11 +324,12 @@
             String service, int processes, ToIntFunction<EndpointRole> engines) {
         PhaseLoadSum sum = new PhaseLoadSum();
         for (EndpointState state : mTable.pool(service).all()) {
-            Optional<EndpointLoad> load = state.fleetLoad(processes);
-            if (load.isEmpty()) {
+            Optional<EndpointLoad> others = state.peerLoad();
+            if (processes > 1 && others.isEmpty()) {
                 return Optional.empty();
             }
-            sum.add(state.description().role(), load.get(), capacity(state));
+            EndpointLoad own = state.ownLoad();
+            sum.add(state.description().role(), others.map(own::plus).orElse(own), capacity(state));
         }
         return sum.extendedTo(engines);
     }
--- a/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
@@ -30,6 +30,9 @@
     /** More updates than a relay gets between two messages; beyond it, the oldest are dropped. */
     private static final int MAX_PREFIX_UPDATES = 256;
 
+    /** Spread over the groups, so that the loss of a failure domain leaves some of them. */
+    private static final int STORE_WATCHERS = 4;
+
     private final String mSelf;
     private final long mIncarnation;
     private final PeerLoads mProcesses;
@@ -41,6 +44,7 @@
     private final Set<PrefixUpdate> mUpdatesForMembers = new LinkedHashSet<>();
     private ExchangeTopology mTopology = ExchangeTopology.empty();
     private List<EndpointLoad> mOwnLoads = List.of();
+    private List<StoreProgress> mStoreProgress = List.of();
     private Set<String> mNeighbors = Set.of();
     private boolean mWasIdle;
     private long mSequence;
@@ -76,6 +80,22 @@
         mOtherRelays.retain(mTopology.others());
     }
 
+    /** Updates the progress in the store that the next messages carry. */
+    public void updateStoreProgress(List<StoreProgress> progress) {
+        mStoreProgress = List.copyOf(progress);
+    }
+
+    /**
+     * Returns whether this process is one of a few that watch the store closely for the others, one
+     * in every few groups. All processes agree on them; whether they respond is not taken into
+     * account.
+     */
+    public boolean isStoreWatcher() {
+        List<String> group = mTopology.ownGroup();
+        return group.isEmpty()
+                || mTopology.isOneOfSpread(STORE_WATCHERS) && group.get(0).equals(mSelf);
+    }
+
     /** Returns whether every process sends to every other one. */
     public boolean isFullMesh() {
         return mTopology.isFullMesh();
@@ -198,7 +218,8 @@
             List<PrefixUpdate> updates,
             List<String> recipients) {
         LoadMessage message =
-                new LoadMessage(mSelf, mIncarnation, ++mSequence, scope, loads, updates);
+                new LoadMessage(
+                        mSelf, mIncarnation, ++mSequence, scope, loads, updates, mStoreProgress);
         return new OutgoingLoad(message, recipients);
     }
 
--- a/routing/src/test/java/org/sesamedeck/routing/LeavingEndpointPolicyTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/LeavingEndpointPolicyTest.java
@@ -31,7 +31,8 @@
                 EndpointRole.DECODE,
                 Set.of(),
                 true,
-                within);
+                within,
+                Optional.empty());
     }
 
     private boolean accepts(EndpointDescription endpoint, long sinceMillis, Duration expected) {
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
@@ -39,6 +39,7 @@
                             i % 3 == 0 ? EndpointRole.PREFILL : EndpointRole.DECODE,
                             Set.of(),
                             i >= ordinary,
+                            Optional.empty(),
                             Optional.empty()));
         }
         return ServerCounts.of(servers, "models");
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/SimulatedServers.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/SimulatedServers.java
@@ -100,6 +100,7 @@
                 server.mRole,
                 Set.of(),
                 server.mPool.isReclaimable(),
+                Optional.empty(),
                 Optional.empty());
     }
 
