--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
@@ -228,11 +228,11 @@
             boolean isRequested =
                     role.isPresent()
                             && mRoleChanger.requestRole(
-                                    service.name(), role.get(), service.roleCandidates());
+                                    service.name(), role.get(), service.roleCandidates(mRouter));
             if (!isRequested) {
                 return;
             }
-            service.roleRequested(role.get());
+            service.roleRequested(mRouter, role.get());
         }
     }
 
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -324,15 +324,22 @@
             String service, int processes, ToIntFunction<EndpointRole> engines) {
         PhaseLoadSum sum = new PhaseLoadSum();
         for (EndpointState state : mTable.pool(service).all()) {
-            Optional<EndpointLoad> load = state.fleetLoad(processes);
-            if (load.isEmpty()) {
+            Optional<EndpointLoad> others = state.peerLoad();
+            if (processes > 1 && others.isEmpty()) {
                 return Optional.empty();
             }
-            sum.add(state.description().role(), load.get());
+            EndpointLoad own = state.ownLoad();
+            sum.add(state.description().role(), others.map(own::plus).orElse(own), capacity(state));
         }
         return sum.extendedTo(engines);
     }
 
+    private double capacity(EndpointState state) {
+        return mSettings.traits().tokenIntervalLimitNanos() <= 0
+                ? Double.POSITIVE_INFINITY
+                : state.decodeCapacity();
+    }
+
     @Override
     public void markLeaving(String endpoint) {
         EndpointState state = mTable.state(endpoint);
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -188,22 +188,12 @@
                 mDescription.name(), (long) Math.max(0, mOwnUnstartedNanos), mOwnRunning);
     }
 
-    /**
-     * Returns the load of all processes; empty if that of the others is unknown.
-     *
-     * @param processes number of processes that send work, including this one
-     */
-    synchronized Optional<EndpointLoad> fleetLoad(int processes) {
-        EndpointLoad own = ownLoad();
-        if (processes <= 1) {
-            return Optional.of(own);
-        }
-        return knowsPeerLoad()
-                ? Optional.of(
-                        own.plus(
-                                new EndpointLoad(
-                                        own.endpoint(), (long) mPeerWaitingNanos, mPeerRunning)))
-                : Optional.empty();
+    /** Returns the load summed over all other processes; empty while it is unknown. */
+    synchronized Optional<EndpointLoad> peerLoad() {
+        return Optional.of(
+                        new EndpointLoad(
+                                mDescription.name(), (long) mPeerWaitingNanos, mPeerRunning))
+                .filter(load -> knowsPeerLoad());
     }
 
     private boolean knowsPeerLoad() {
