--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -6,6 +6,7 @@
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.routing.Assignment;
 import org.sesamedeck.routing.RequestPhase;
+import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.quarantine.QuarantinedPart;
 
 /**
@@ -79,13 +80,12 @@
             return;
         }
         RequestQueue queue = mHandler.requestQueue(accepted().service());
-        int priority = accepted().access().priority();
-        int ahead = queue.ahead(priority);
+        int ahead = queue.ahead(accepted().access().priority());
         if (ahead == 0 && dispatchIfCapacity()) {
             return;
         }
         mLog.queued(ahead, mHandler.router().decodeCapacity(accepted().profile()));
-        if (!queue.enqueue(this, priority, remainingTime)) {
+        if (!queue.enqueue(this, accepted().access().priority(), remainingTime)) {
             refuseOverloaded();
         }
     }
@@ -100,6 +100,10 @@
         }
     }
 
+    private void refuseUntilUsable(String cause) {
+        refuse(ResultCode.OVERLOADED, cause, mHandler.retryAfter(accepted(), mRequest));
+    }
+
     /** Sends the request if there is decode capacity for it, and returns whether there is. */
     boolean dispatchIfCapacity() {
         boolean hasCapacity = mHandler.router().decodeCapacity(accepted().profile()).isAvailable();
@@ -111,11 +115,10 @@
 
     /** Ends the request because its caller disconnected; a call in progress is cancelled. */
     public void callerLeft() {
-        if (mIsOver) {
-            return;
+        if (!mIsOver) {
+            mLog.callerLeft(mStream.isStarted());
+            end(RequestOutcome.CALLER_LEFT);
         }
-        mLog.callerLeft(mStream.isStarted());
-        end(RequestOutcome.CALLER_LEFT);
     }
 
     private void dispatch() {
@@ -126,13 +129,11 @@
         if (refuseIfUnauthenticated() || refuseIfQuarantined()) {
             return;
         }
-        RequestPhase phase =
-                mProcessedPrompt.isPresent()
-                        ? RequestPhase.DECODE
-                        : mHandler.phaseSplit()
-                                .firstPhase(accepted().profile(), mHistory.mayPrefill());
+        RequestProfile profile = accepted().profile();
+        PhaseSplitPolicy policy = mHandler.phaseSplit();
+        RequestPhase phase = policy.nextPhase(profile, mProcessedPrompt, mHistory.mayPrefill());
         Optional<Assignment> chosen =
-                mHandler.router().choosePhase(accepted().profile(), phase, mHistory.excluded());
+                policy.choose(profile, phase, mProcessedPrompt, mHistory.excluded());
         if (chosen.isEmpty()) {
             noEndpointAvailable(phase);
             return;
@@ -209,14 +210,13 @@
         mProcessedPrompt = Optional.empty();
         mHistory.failureReceived(attempt.endpoint().name());
         mLog.failureReceived(attempt, head.status());
-        boolean isServerFailure = head.status() >= 500;
         NextStep step =
                 RetryPolicy.decide(
                         kind(),
                         AttemptOutcome.FAILURE_ANSWERED,
                         true,
                         mStream.isStarted(),
-                        isServerFailure && kind().isRepeatable() && mayRetry());
+                        head.status() >= 500 && kind().isRepeatable() && mayRetry());
         if (step == NextStep.RELAY_FAILURE && !RetryPolicy.impliesNotRun(head.status())) {
             mPort.respond(head, body);
             mLog.completed(attempt, head.status(), mDeadline.elapsedNanos());
@@ -237,7 +237,7 @@
                 .promptProcessed(
                         accepted().service(),
                         mRequest.promptTokens(),
-                        Duration.ofNanos(now() - attempt.sentNanos()));
+                        Duration.ofNanos(mHandler.clock().nanoTime() - attempt.sentNanos()));
         Optional<String> handle = mPort.processedPromptHandle(head, body);
         mLog.promptProcessed(attempt, handle.isPresent());
         mProcessedPrompt = handle.map(name -> new ProcessedPrompt(attempt.endpoint(), name));
@@ -253,7 +253,7 @@
             return;
         }
         mProcessedPrompt = Optional.empty();
-        mStream.deliver(head, events, now());
+        mStream.deliver(head, events, mHandler.clock().nanoTime());
     }
 
     void streamEnded(Attempt attempt, ResponseHead head) {
@@ -262,7 +262,7 @@
         }
         mAttempt = Optional.empty();
         mProcessedPrompt = Optional.empty();
-        mStream.end(head, now());
+        mStream.end(head, mHandler.clock().nanoTime());
         mHandler.streamCompleted(accepted().route(), accepted().service(), mStream);
         completed(attempt, head);
     }
@@ -317,7 +317,7 @@
                 mLog.retried(mStream.isStarted(), outcome, mHistory.runs());
                 dispatch();
             }
-            case REFUSE -> refuse(ResultCode.OVERLOADED, cause, mHandler.defaultRetryAfter());
+            case REFUSE -> refuseUntilUsable(cause);
             case ABORT_STREAM -> abortStream(cause);
             default -> fail(cause);
         }
@@ -443,8 +443,4 @@
     private RequestKind kind() {
         return accepted().route().kind();
     }
-
-    private long now() {
-        return mHandler.clock().nanoTime();
-    }
 }
