Learn the speed of engines per process again; bound the memory at an engine

Suspected, not traced: ratios learned from token intervals, which depend on the batch, drew responses to few engines. Prompts and token intervals are therefore learned per process and endpoint as before.

Memory: an engine ends when the requests that it holds exceed its memory. Configurations state it (kv_tokens), so no priced probe is needed. Tried and not kept: opening a nearly full engine to a random part of the requests only.

--- a/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
@@ -31,7 +31,8 @@
                     EndpointShare.newBuilder()
                             .setEndpoint(load.endpoint())
                             .setWaitingMicros(load.waitingNanos() / NANOS_PER_MICRO)
-                            .setRunning(load.running()));
+                            .setRunning(load.running())
+                            .setTokens(load.tokens()));
         }
         for (PrefixUpdate update : message.prefixUpdates()) {
             share.addPrefixes(
@@ -58,7 +59,8 @@
                     new EndpointLoad(
                             endpoint.getEndpoint(),
                             endpoint.getWaitingMicros() * NANOS_PER_MICRO,
-                            endpoint.getRunning()));
+                            endpoint.getRunning(),
+                            endpoint.getTokens()));
         }
         List<PrefixUpdate> updates = new ArrayList<>(share.getPrefixesCount());
         for (PrefixShare prefix : share.getPrefixesList()) {
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -92,6 +92,11 @@
             return false;
         }
         mConfiguration = Optional.of(configuration);
+        Map<String, Long> memory = new HashMap<>();
+        for (ServiceDescription service : configuration.services()) {
+            service.engineMemory().ifPresent(tokens -> memory.put(service.name(), tokens));
+        }
+        mRouter.updateEngineMemory(memory);
         return true;
     }
 
@@ -221,11 +226,15 @@
 
     /**
      * Returns the retry-after delay for a request that no endpoint takes: it does not end before
-     * the first endpoint is usable, if that is known.
+     * the first endpoint is usable, if that is known. A request that is too large for any endpoint
+     * has none.
      *
      * @param profile empty when no route matched
      */
     Optional<Duration> retryAfter(Optional<RequestProfile> profile, CallerRequest request) {
+        if (profile.map(mRouter::isOversized).orElse(false)) {
+            return Optional.empty();
+        }
         return profile.flatMap(mRouter::timeUntilUsable)
                 .filter(wait -> wait.compareTo(mSettings.retryAfter()) > 0)
                 .map(wait -> RetryAfterDelay.notBefore(wait, request.identifier()))
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import org.sesamedeck.core.Clock;
 
 /**
@@ -43,7 +44,8 @@
     private final PrefixIndex mPrefixes = PrefixIndex.create(PREFIX_CAPACITY);
     private final PrefixUpdateBuffer mPrefixUpdates = new PrefixUpdateBuffer();
     private final EndpointExclusions mExclusions;
-    private final WorkTimeModels mModels;
+    private final EngineMemory mMemory = new EngineMemory();
+    private final Map<String, ServiceTimeModel> mServiceTimes = new ConcurrentHashMap<>();
     private final SpeedEstimate.Factory mSpeeds;
     private volatile int mProcesses = 1;
     private volatile EndpointTable mTable = EndpointTable.empty();
@@ -56,7 +58,6 @@
             String name,
             long seed) {
         mClock = clock;
-        mModels = new WorkTimeModels(settings);
         mSpeeds = speeds;
         mEstimator = estimator;
         mSettings = settings;
@@ -149,7 +150,7 @@
         if (best == null) {
             return OptionalLong.empty();
         }
-        double prompt = best.promptNanos(choice.bestUncachedTokens());
+        double prompt = choice.bestUncachedTokens() * best.prefillNanosPerToken();
         return OptionalLong.of((long) (best.expectedWaitNanos(mProcesses) + prompt));
     }
 
@@ -157,7 +158,8 @@
             EndpointTable table, RequestProfile profile, RequestPhase phase, Set<String> excluded) {
         Candidates candidates = table.candidates(profile.target());
         EndpointChoice choice =
-                new EndpointChoice(mSettings, mPrefixes, mProcesses, profile, phase, excluded);
+                new EndpointChoice(
+                        mSettings, mPrefixes, mMemory, mProcesses, profile, phase, excluded);
         if (phase != RequestPhase.DECODE) {
             choice.considerFetching(table);
             choice.considerPrefixHolders(table);
@@ -192,7 +194,7 @@
         if (mSettings.traits().tokenIntervalLimitNanos() <= 0 || !profile.isModelRequest()) {
             return DecodeCapacity.unlimited();
         }
-        if (mExclusions.areAllHeld(mTable.candidates(profile.target()))) {
+        if (isOversized(profile) || mExclusions.areAllHeld(mTable.candidates(profile.target()))) {
             // The requests are refused at once instead of being queued.
             return DecodeCapacity.unlimited();
         }
@@ -228,7 +230,13 @@
                 mPrefixes.removeEndpoint(endpoint.name());
             }
             EndpointState state =
-                    new EndpointState(mClock, mSettings, endpoint, mModels, mSpeeds.create());
+                    new EndpointState(
+                            mClock,
+                            mSettings,
+                            endpoint,
+                            mServiceTimes.computeIfAbsent(
+                                    endpoint.service(), name -> new ServiceTimeModel()),
+                            mSpeeds.create());
             if (hasStatedLeaving) {
                 state.statedLeaving();
             }
@@ -265,6 +273,17 @@
         return Optional.ofNullable(mTable.state(endpoint.name()));
     }
 
+    @Override
+    public void updateEngineMemory(Map<String, Long> tokensByService) {
+        mMemory.update(tokensByService);
+    }
+
+    @Override
+    public boolean isOversized(RequestProfile profile) {
+        return profile.isModelRequest()
+                && mMemory.isOversized(mTable.poolOf(profile.target()), profile.promptTokens());
+    }
+
     @Override
     public boolean accepts(EndpointDescription endpoint) {
         return mExclusions.accepts(endpoint, state(endpoint));
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -12,6 +12,7 @@
 
     private final RouterSettings mSettings;
     private final PrefixIndex mPrefixes;
+    private final EngineMemory mMemory;
     private final int mProcesses;
     private final RequestProfile mProfile;
     private final RequestPhase mPhase;
@@ -29,12 +30,14 @@
     EndpointChoice(
             RouterSettings settings,
             PrefixIndex prefixes,
+            EngineMemory memory,
             int processes,
             RequestProfile profile,
             RequestPhase phase,
             Set<String> excluded) {
         mSettings = settings;
         mPrefixes = prefixes;
+        mMemory = memory;
         mProcesses = processes;
         mProfile = profile;
         mPhase = phase;
@@ -134,11 +137,18 @@
     private boolean isEligible(EndpointState state) {
         return state.isUsable()
                 && acceptsPhase(state.description())
+                && hasRoom(state)
                 && !mExcluded.contains(state.description().name())
                 && (mProfile.allowedRegions().isEmpty()
                         || mProfile.allowedRegions().contains(state.description().region()));
     }
 
+    private boolean hasRoom(EndpointState state) {
+        long tokens = mProfile.promptTokens() + mProfile.expectedOutputTokens();
+        return !mProfile.isModelRequest()
+                || mMemory.hasRoom(state.description().service(), state.heldTokens(), tokens);
+    }
+
     private boolean acceptsPhase(EndpointDescription description) {
         return !mSettings.traits().rolesAreStrict()
                 || description.role() == EndpointRole.MIXED
@@ -211,7 +221,7 @@
         if (!mProfile.isModelRequest()) {
             return cost + state.plainServiceNanos() + regionNanos(description, 1);
         }
-        double prompt = mPhase == RequestPhase.DECODE ? 0 : state.promptNanos(uncachedTokens);
+        double prompt = uncachedTokens * state.prefillNanosPerToken();
         double output =
                 mPhase == RequestPhase.PREFILL
                         ? 0
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointLoad.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointLoad.java
@@ -6,11 +6,20 @@
  * @param endpoint name of the endpoint
  * @param waitingNanos engine time of prompts without a first token yet, in nanoseconds
  * @param running requests in progress
+ * @param tokens prompt and expected output tokens of the requests in progress
  */
-public record EndpointLoad(String endpoint, long waitingNanos, int running) {
+public record EndpointLoad(String endpoint, long waitingNanos, int running, long tokens) {
+    /** Creates a load whose requests have no tokens. */
+    public EndpointLoad(String endpoint, long waitingNanos, int running) {
+        this(endpoint, waitingNanos, running, 0);
+    }
+
     /** Returns the sum of two loads of the same endpoint. */
     public EndpointLoad plus(EndpointLoad other) {
         return new EndpointLoad(
-                endpoint, waitingNanos + other.waitingNanos, running + other.running);
+                endpoint,
+                waitingNanos + other.waitingNanos,
+                running + other.running,
+                tokens + other.tokens);
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -8,27 +8,11 @@
  * then, its learned speed and its circuit breaker. Thread-safe.
  */
 final class EndpointState {
-    /** Weight of one interval between tokens in the learned speed, in requests. */
-    private static final double TOKEN_INTERVAL_WEIGHT = 0.1;
-
-    /** The time of shorter prompts says little about the time of a token. */
-    private static final double MIN_LEARNED_TOKENS = 64;
-
-    /**
-     * Weight of a long time while the load of other processes is unknown: the prompt may have
-     * waited for theirs, whereas a short time is never too short.
-     */
-    private static final double POSSIBLE_WAIT_WEIGHT = 0.1;
-
-    /** Work that waits for no longer than this fraction of its own time counts as not waiting. */
-    private static final double NEGLIGIBLE_WAIT = 0.1;
+    private static final double LEARNING_RATE = 0.1;
 
     /** The load of other processes is older than a report of this age. */
     private static final long FRESH_REPORT_NANOS = 100_000_000L;
 
-    /** Limits the chance of a wait for a slot, which has no bound as all slots become busy. */
-    private static final double MAX_BUSY_PART = 0.8;
-
     /** Reported work is ignored in older reports, which say nothing about the current load. */
     private static final long MAX_REPORT_AGE_NANOS = 15_000_000_000L;
 
@@ -55,11 +39,10 @@
     private final Clock mClock;
     private final EngineTraits mTraits;
     private final CircuitBreaker mBreaker;
-    private final WorkTimeModels mModels;
+    private final ServiceTimeModel mServiceTime;
     private final SpeedEstimate mSpeed;
     private final ArrayDeque<RoutedAssignment> mAssignmentsSinceReport = new ArrayDeque<>();
     private volatile EndpointDescription mDescription;
-    private volatile WorkTimeModel mModel;
     private volatile boolean mMarkedLeaving;
     private volatile long mMarkedAtNanos;
     private volatile boolean mStatedLeaving;
@@ -72,9 +55,15 @@
     private int mReportedQueued;
     private int mOwnRunning;
     private double mOwnUnstartedNanos;
+    private long mOwnTokens;
     private double mUnstartedSinceReportNanos;
     private double mAssignedSinceReportNanos;
     private int mRunningSinceReport;
+    private double mPrefillNanosPerToken;
+
+    /** Token interval of a response that runs alone. */
+    private double mIdleDecodeNanosPerToken;
+
     private int mSlots;
     private double mRecentPromptNanos;
     private long mRecentUpdatedAtNanos;
@@ -82,20 +71,22 @@
     private long mPeerLoadAtNanos;
     private double mPeerWaitingNanos;
     private int mPeerRunning;
+    private long mPeerTokens;
 
     EndpointState(
             Clock clock,
             RouterSettings settings,
             EndpointDescription description,
-            WorkTimeModels models,
+            ServiceTimeModel serviceTime,
             SpeedEstimate speed) {
         mClock = clock;
         mBreaker = CircuitBreaker.create(clock);
         mTraits = settings.traits();
         mDescription = description;
-        mModels = models;
         mSpeed = speed;
-        mModel = models.of(description);
+        mServiceTime = serviceTime;
+        mPrefillNanosPerToken = settings.prefillNanosPerToken();
+        mIdleDecodeNanosPerToken = settings.decodeNanosPerToken();
     }
 
     EndpointDescription description() {
@@ -117,7 +108,6 @@
             mMarkedLeaving = false;
         }
         mDescription = description;
-        mModel = mModels.of(description);
     }
 
     void markLeaving() {
@@ -177,7 +167,7 @@
         mReportedQueued = report.queuedRequests();
         mSlots = report.slots().orElse(0);
         report.pace().ifPresent(pace -> mSpeed.paceReported(pace, mReportedAtNanos));
-        mReportedPromptNanos = report.queuedPromptTokens() * prefillNanosPerToken();
+        mReportedPromptNanos = report.queuedPromptTokens() * mPrefillNanosPerToken;
         while (!mAssignmentsSinceReport.isEmpty()
                 && mAssignmentsSinceReport.peekFirst().assignedAtNanos() - mReportedAtNanos <= 0) {
             RoutedAssignment included = mAssignmentsSinceReport.pollFirst();
@@ -195,11 +185,20 @@
         mPeerLoadAtNanos = mClock.nanoTime();
         mPeerWaitingNanos = load.waitingNanos();
         mPeerRunning = load.running();
+        mPeerTokens = load.tokens();
     }
 
     synchronized EndpointLoad ownLoad() {
         return new EndpointLoad(
-                mDescription.name(), (long) Math.max(0, mOwnUnstartedNanos), mOwnRunning);
+                mDescription.name(),
+                (long) Math.max(0, mOwnUnstartedNanos),
+                mOwnRunning,
+                mOwnTokens);
+    }
+
+    /** Returns the tokens of all known requests that the endpoint holds. */
+    synchronized long heldTokens() {
+        return mOwnTokens + (knowsPeerLoad() ? mPeerTokens : 0);
     }
 
     private boolean knowsPeerLoad() {
@@ -221,6 +220,7 @@
         mRunningSinceReport++;
         mRecentPromptNanos = recentPromptNanos() + assignment.promptNanos();
         mOwnRunning++;
+        mOwnTokens += assignment.tokens();
         mOwnUnstartedNanos += assignment.promptNanos();
     }
 
@@ -239,56 +239,54 @@
     synchronized void closed(RoutedAssignment assignment) {
         started(assignment);
         mOwnRunning--;
+        mOwnTokens -= assignment.tokens();
         if (assignment.stopCountingSinceReport()) {
             mRunningSinceReport--;
         }
     }
 
     /**
-     * Learns from a completed response how long work takes at the endpoint and at those like it.
-     *
-     * @param uncachedTokens 0 if the response does not tell how long its prompt took
-     * @param startedAtOnce whether the work did not wait, as far as it is known; only then does its
-     *     time tell the speed
-     * @param pace pace of the host when the first token arrived
+     * Learns the endpoint's speed from a completed response. Prefill speed is learned only when
+     * this router knew of no queue at the endpoint.
      */
-    synchronized void learn(
-            boolean isModelRequest,
+    synchronized void learnEngine(
             double uncachedTokens,
+            long outputTokens,
             long prefillNanos,
             long decodeNanos,
-            boolean startedAtOnce,
-            double pace) {
-        if (!startedAtOnce) {
-            return;
+            boolean startedAtOnce) {
+        if (startedAtOnce && uncachedTokens >= 64) {
+            double sample = prefillNanos / uncachedTokens;
+            // A measured time is never below the processing time, but often includes a wait for a
+            // batch: low samples have full weight, high ones a tenth.
+            double rate = sample < mPrefillNanosPerToken ? LEARNING_RATE : LEARNING_RATE / 10;
+            mPrefillNanosPerToken += rate * (sample - mPrefillNanosPerToken);
         }
-        if (!isModelRequest) {
-            double nanos = prefillNanos + decodeNanos;
-            double expected = mModel.serviceNanos();
-            mModel.learnService(nanos / (lastingFactor() * pace));
-            mSpeed.learn(nanos / expected, 1, pace);
-        } else if (uncachedTokens >= MIN_LEARNED_TOKENS) {
-            double ratio = prefillNanos / mModel.promptNanos(uncachedTokens);
-            double usual = prefillNanos / (lastingFactor() * pace);
-            boolean mayHaveWaited = !knowsPeerLoad() && ratio > mSpeed.factor();
-            mModel.learnPrompt(uncachedTokens, usual, mayHaveWaited ? POSSIBLE_WAIT_WEIGHT : 1);
-            if (knowsPeerLoad()) {
-                // Otherwise, a wait behind the work of other processes would count as slowness.
-                mSpeed.learn(ratio, 1, pace);
-            }
+        if (outputTokens >= 8 && decodeNanos > 0) {
+            learnTokenInterval(outputTokens - 1, decodeNanos);
         }
     }
 
     /** Learns from the token interval of a response that is still in progress. */
-    synchronized void learnTokenInterval(int tokens, long nanos) {
+    synchronized void learnTokenInterval(long tokens, long nanos) {
         double sample = (double) nanos / tokens / (1 + runningNow() / mTraits.batchScale());
-        double expected = mModel.tokenIntervalNanos();
-        mModel.learnTokenInterval(sample / mSpeed.factor());
-        mSpeed.learn(sample / expected, TOKEN_INTERVAL_WEIGHT, mSpeed.pace());
+        mIdleDecodeNanosPerToken += LEARNING_RATE * (sample - mIdleDecodeNanosPerToken);
     }
 
-    private double lastingFactor() {
-        return mSpeed.factor() / mSpeed.pace();
+    /**
+     * Learns from a request to a plain service how long requests take there and at the endpoints of
+     * the service on average.
+     *
+     * @param startedAtOnce whether it did not wait, as far as it is known; only then does its time
+     *     tell the speed
+     * @param pace pace of the host when the response arrived
+     */
+    synchronized void learnService(long nanos, boolean startedAtOnce, double pace) {
+        if (startedAtOnce) {
+            double expected = mServiceTime.nanos();
+            mServiceTime.learn(nanos * mSpeed.pace() / (mSpeed.factor() * pace));
+            mSpeed.learn(nanos / expected, 1, pace);
+        }
     }
 
     /** Returns the current pace of the endpoint's host; 1 is usual. */
@@ -299,7 +297,7 @@
     /** Returns how many responses the engine can generate within the token interval limit. */
     synchronized double decodeCapacity() {
         double capacity =
-                (mTraits.tokenIntervalLimitNanos() / idleTokenIntervalNanos() - 1)
+                (mTraits.tokenIntervalLimitNanos() / mIdleDecodeNanosPerToken - 1)
                         * mTraits.batchScale();
         return Math.max(MIN_DECODE_CAPACITY, capacity);
     }
@@ -332,19 +330,11 @@
     }
 
     /**
-     * Returns the expected wait at a plain service. A request does not wait while a slot is free.
-     * Since requests of other processes arrive meanwhile, the approximation of the mean wait in an
-     * M/M/c queue by Sakasegawa (1977) is added: it is small until most slots are busy. An endpoint
-     * that has not reported its slots is taken to serve one request at a time, so that a new one
-     * gets little work until its first response.
+     * Returns the expected wait at a plain service. An endpoint that has not reported its slots is
+     * taken to have one, so that a new one gets little work until its first response.
      */
     private double plainWaitNanos() {
-        double requests = plainRequests();
-        double slots = Math.max(1, mSlots);
-        double busyPart = Math.min(MAX_BUSY_PART, requests / slots);
-        double chance = Math.pow(busyPart, Math.sqrt(2 * (slots + 1)) - 1) / (1 - busyPart);
-        double ahead = Math.max(0, requests + 1 - slots);
-        return (ahead + chance) / slots * plainServiceNanos();
+        return SlotWait.nanos(plainRequests(), Math.max(1, mSlots), plainServiceNanos());
     }
 
     /** Returns the number of requests that a plain service has, running or queued. */
@@ -358,18 +348,11 @@
                 : mOwnRunning;
     }
 
-    /**
-     * Returns whether work sent now would start at once, as far as it is known.
-     *
-     * @param nanos expected time of the work
-     */
-    synchronized boolean startsAtOnce(double nanos) {
-        if (!mDescription.isEngine()) {
-            return plainRequests() < Math.max(1, mSlots);
-        }
-        return knowsPeerLoad()
-                ? expectedWaitNanos(1) <= NEGLIGIBLE_WAIT * nanos
-                : mOwnUnstartedNanos <= 0 && mReportedQueued == 0;
+    /** Returns whether work sent now would start at once, as far as this router knows. */
+    synchronized boolean startsAtOnce() {
+        return mDescription.isEngine()
+                ? mOwnUnstartedNanos <= 0 && mReportedQueued == 0
+                : plainRequests() < Math.max(1, mSlots);
     }
 
     /**
@@ -397,23 +380,13 @@
         return mHasReport ? mReportedRunning + mRunningSinceReport : mOwnRunning;
     }
 
-    /** Returns the time to the first token of a prompt that does not wait, in nanoseconds. */
-    synchronized double promptNanos(double uncachedTokens) {
-        return mModel.promptNanos(uncachedTokens) * mSpeed.factor();
-    }
-
-    /** Returns the time for which a prompt token occupies the endpoint, in nanoseconds. */
     synchronized double prefillNanosPerToken() {
-        return mModel.nanosPerToken() * mSpeed.factor();
+        return mPrefillNanosPerToken;
     }
 
     /** Returns the expected time between tokens under the current batch, in nanoseconds. */
     synchronized double decodeNanosPerToken() {
-        return idleTokenIntervalNanos() * (1 + runningNow() / mTraits.batchScale());
-    }
-
-    private double idleTokenIntervalNanos() {
-        return mModel.tokenIntervalNanos() * mSpeed.factor();
+        return mIdleDecodeNanosPerToken * (1 + runningNow() / mTraits.batchScale());
     }
 
     /**
@@ -421,13 +394,13 @@
      * report lengthen the token interval, in nanoseconds.
      */
     synchronized double peerDecodeNanosPerToken(int processes) {
-        return idleTokenIntervalNanos()
+        return mIdleDecodeNanosPerToken
                 * (processes - 1)
                 * mRunningSinceReport
                 / mTraits.batchScale();
     }
 
     synchronized double plainServiceNanos() {
-        return mModel.serviceNanos() * mSpeed.factor();
+        return mServiceTime.nanos() * mSpeed.factor();
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
@@ -64,7 +64,7 @@
                                 : endpoint.plainServiceNanos();
         mUnstartedNanos = mPromptNanos;
         mAssignedAtNanos = clock.nanoTime();
-        mStartsAtOnce = endpoint.startsAtOnce(mPromptNanos);
+        mStartsAtOnce = endpoint.startsAtOnce();
         endpoint.assigned(this);
     }
 
@@ -72,6 +72,11 @@
         return mPromptNanos;
     }
 
+    /** Returns the tokens that the request holds at the endpoint. */
+    long tokens() {
+        return mProfile.promptTokens() + mProfile.expectedOutputTokens();
+    }
+
     long assignedAtNanos() {
         return mAssignedAtNanos;
     }
@@ -132,13 +137,16 @@
         long now = mClock.nanoTime();
         long first = mFirstTokenAtNanos == 0 ? now : mFirstTokenAtNanos;
         boolean hasPrompt = mPhase != RequestPhase.DECODE && mFirstTokenAtNanos != 0;
-        mEndpoint.learn(
-                mProfile.isModelRequest(),
-                hasPrompt ? mUncachedTokens : 0,
-                first - mAssignedAtNanos,
-                now - first,
-                mStartsAtOnce,
-                mPaceAtFirstToken);
+        if (mProfile.isModelRequest()) {
+            mEndpoint.learnEngine(
+                    hasPrompt ? mUncachedTokens : 0,
+                    outputTokens,
+                    first - mAssignedAtNanos,
+                    now - first,
+                    mStartsAtOnce);
+        } else {
+            mEndpoint.learnService(now - mAssignedAtNanos, mStartsAtOnce, mPaceAtFirstToken);
+        }
         learnCost(hasPrompt, first - mAssignedAtNanos, outputTokens, now - first);
     }
 
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -96,6 +96,17 @@
         return Optional.empty();
     }
 
+    /**
+     * Updates the memory of the engines of each service, in tokens; a service that is left out has
+     * no known limit.
+     */
+    default void updateEngineMemory(Map<String, Long> tokensByService) {}
+
+    /** Returns whether no engine has memory for the prompt, even if it holds nothing else. */
+    default boolean isOversized(RequestProfile profile) {
+        return false;
+    }
+
     /** Returns the load from this process at each endpoint that has any. */
     default List<EndpointLoad> ownLoad() {
         return List.of();
