One owner of the memory held for callers, with admission before bytes are read

Callers saw no answer at all while others held bodies in chunks of 12 bytes, and the process ended or fell silent under heads of 4,000 fields or connections without requests. Cause: each body was kept in an array that was copied as it grew, decoded heads of requests sent ahead took sixty times their size, responses of pipelined requests were started before the one before was read, nothing bounded the sum, and one connection had a megabyte of reads before the others had their turn.

CallerMemory now counts connections, header fields, blocks of bodies, undecoded buffers and unread responses. Large bodies are admitted before they are read; requests sent ahead stay undecoded; the holder with most bytes and least progress ends first. Connections have a bound from the descriptors. The status server has bounds of its own.

A request ends when its response has been written, so a planned stop no longer cuts responses that are still being written (StoppedAnswer).

Memory for responses that are being received counts blocks and is at most a quarter of the heap: before, a heap of 48 MB held two thirds of it for both.

--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
@@ -1,40 +1,37 @@
 package org.sesamedeck.gateway;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.sesamedeck.request.RequestHandler;
-import org.sesamedeck.request.TrafficLimits;
 
 /**
  * A caller's connection. Requests are processed one at a time, in order. A request starts only when
  * its body is complete, so that it can be retried on another endpoint. Closing the connection ends
  * the request in progress.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter
+        implements MemoryHolder, RequestReader.Listener {
+    /** Retry-after delay of a caller who was refused because memory is short, in seconds. */
+    private static final String RETRY_AFTER = "1.00";
+
     /**
      * Maximum number of pipelined requests that wait while another one is in progress; the
      * connection of a caller that sends more is closed.
@@ -52,8 +49,11 @@
     private ChannelHandlerContext mContext;
     private Optional<CallerExchange> mExchange = Optional.empty();
     private Optional<Future<?>> mTimer = Optional.empty();
-    private HttpRequest mHead;
-    private ByteArrayOutputStream mBody;
+    private final ConnectionMemory mMemory;
+    private final RequestReader mReader;
+    private final InputGate mGate = new InputGate(this);
+    private long mLastProgressNanos;
+    private long mLastUnreadBytes;
     private long mOpenedAtNanos;
     private boolean mHasReceived;
     private boolean mIsReadingHead;
@@ -69,23 +69,40 @@
         mHeaderCodec = headerCodec;
         mRequestHandler = requestHandler;
         mEndpointClient = endpointClient;
+        mMemory = ConnectionMemory.create(server.memory(), this);
+        mReader = RequestReader.create(server, mMemory, this);
+    }
+
+    ConnectionMemory memory() {
+        return mMemory;
+    }
+
+    RequestReader reader() {
+        return mReader;
+    }
+
+    InputGate gate() {
+        return mGate;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mContext = context;
         mOpenedAtNanos = mServer.clock().nanoTime();
-        mServer.connectionOpened(this);
+        mLastProgressNanos = mOpenedAtNanos;
+        mMemory.open();
         waitForRequest();
+        mServer.connectionOpened(this);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mServer.connectionClosed(this);
         cancelTimer();
-        mPipelined.clear();
         mExchange.ifPresent(CallerExchange::callerLeft);
         mExchange = Optional.empty();
+        dropInput();
+        mMemory.close();
     }
 
     @Override
@@ -95,18 +112,21 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        boolean isWritable = context.channel().isWritable();
-        mExchange.ifPresent(exchange -> exchange.setReading(isWritable));
+        if (context.channel().isWritable()) {
+            mExchange.ifPresent(CallerExchange::readOn);
+        }
     }
 
     /**
      * Starts the header timeout when the first bytes of a request arrive, before they are decoded.
      */
-    void bytesReceived() {
+    void bytesReceived(int bytes) {
         mHasReceived = true;
-        if (mExchange.isEmpty() && mHead == null && !mIsReadingHead) {
+        mLastProgressNanos = mServer.clock().nanoTime();
+        mReader.bytesReceived(bytes);
+        if (mExchange.isEmpty() && !mReader.isReadingBody() && !mIsReadingHead) {
             mIsReadingHead = true;
-            schedule(mServer.limits().headerTimeout(), () -> refuseAndClose(408, "head is late"));
+            schedule(mServer.limits().headerTimeout(), () -> refused(408, "head is late"));
         }
     }
 
@@ -116,83 +136,98 @@
             if (mIgnoresInput) {
                 return;
             }
-            HttpObject part = (HttpObject) message;
-            if (part.decoderResult().isFailure()) {
-                refuseMalformed(part.decoderResult().cause());
-                return;
-            }
-            if (part instanceof HttpRequest head) {
-                readHead(head);
-            }
-            if (part instanceof HttpContent content && mHead != null) {
-                readContent(content);
-            }
+            mReader.read((HttpObject) message);
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void refuseMalformed(Throwable cause) {
-        boolean isTooLong =
-                cause instanceof TooLongHttpHeaderException
-                        || cause instanceof TooLongHttpLineException;
-        refuseAndClose(isTooLong ? 431 : 400, String.valueOf(cause.getMessage()));
-    }
-
-    private void readHead(HttpRequest head) {
+    @Override
+    public void bodyBegins() {
         mIsReadingHead = false;
-        if (isAmbiguous(head)) {
-            refuseAndClose(400, "length of the body is ambiguous");
-            return;
-        }
-        TrafficLimits limits = mServer.limits();
-        if (HttpUtil.getContentLength(head, 0L) > limits.bodyBytes()) {
-            refuseAndClose(413, "body is larger than " + limits.bodyBytes() + " bytes");
-            return;
-        }
-        mHead =
-                new DefaultHttpRequest(
-                        head.protocolVersion(), head.method(), head.uri(), head.headers());
-        mBody = new ByteArrayOutputStream();
         if (mExchange.isEmpty()) {
-            schedule(limits.idleTimeout(), () -> refuseAndClose(408, "body is late"));
+            schedule(mServer.limits().idleTimeout(), this::bodyIsLate);
+        }
+    }
+
+    private void bodyIsLate() {
+        if (mReader.isAwaitingAdmission()) {
+            mReader.refuseForMemory();
+        } else {
+            refused(408, "body is late");
         }
+    }
+
+    @Override
+    public void continueBody(HttpRequest head) {
         if (HttpUtil.is100ContinueExpected(head)) {
             mContext.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
-    /**
-     * Returns whether the head gives more than one length for the body, or none that can be
-     * determined. Such a request could hide a second one in its body (request smuggling).
-     */
-    private static boolean isAmbiguous(HttpRequest head) {
-        boolean hasEncoding = head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-        int lengths = head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size();
-        return lengths > 1
-                || hasEncoding && lengths > 0
-                || hasEncoding && !HttpUtil.isTransferEncodingChunked(head);
-    }
-
-    private void readContent(HttpContent content) {
-        ByteBuf bytes = content.content();
-        if (mBody.size() + bytes.readableBytes() > mServer.limits().bodyBytes()) {
-            refuseAndClose(413, "body is larger than " + mServer.limits().bodyBytes() + " bytes");
-            return;
+    @Override
+    public void admissionNeeded() {
+        if (mExchange.isPresent() || !mReader.tryAdmit()) {
+            mGate.close();
+        }
+    }
+
+    @Override
+    public void admitted() {
+        mReader.admitted();
+        mGate.open();
+    }
+
+    @Override
+    public boolean isSlow(long nowNanos) {
+        return mExchange.isEmpty() && mReader.isSlow(nowNanos);
+    }
+
+    @Override
+    public double reclaimWeight(long nowNanos) {
+        if (mExchange.isPresent()) {
+            if (!mExchange.get().isWritingOut()) {
+                return 0;
+            }
+            noteWriteProgress(nowNanos);
         }
-        byte[] copy = new byte[bytes.readableBytes()];
-        bytes.readBytes(copy);
-        mBody.writeBytes(copy);
-        if (content instanceof LastHttpContent) {
-            ReceivedRequest request = new ReceivedRequest(mHead, mBody.toByteArray());
-            mHead = null;
-            mBody = null;
-            receive(request);
+        return (double) mMemory.reclaimableBytes() * (1 + nowNanos - mLastProgressNanos);
+    }
+
+    private void noteWriteProgress(long nowNanos) {
+        long unread = unreadBytes();
+        if (unread != mLastUnreadBytes) {
+            mLastUnreadBytes = unread;
+            mLastProgressNanos = nowNanos;
         }
     }
 
-    private void receive(ReceivedRequest request) {
+    /** Returns the bytes of responses that wait for the caller to read. */
+    private long unreadBytes() {
+        ChannelOutboundBuffer output = mContext.channel().unsafe().outboundBuffer();
+        return output == null ? 0 : output.totalPendingWriteBytes() - output.currentProgress();
+    }
+
+    @Override
+    public void reclaim() {
+        if (mExchange.isPresent() || mIgnoresInput) {
+            close();
+        } else {
+            mReader.refuseForMemory();
+        }
+        dropInput();
+        mMemory.close();
+    }
+
+    private void dropInput() {
+        mPipelined.clear();
+        mGate.discard();
+        mReader.discard();
+    }
+
+    @Override
+    public void received(ReceivedRequest request) {
         if (mPipelined.size() >= MAX_PIPELINED) {
             close();
             return;
@@ -210,6 +245,7 @@
             waitForRequest();
             return;
         }
+        mGate.close();
         CallerExchange exchange =
                 new CallerExchange(this, mContext, mHeaderCodec, mEndpointClient, request);
         mExchange = Optional.of(exchange);
@@ -227,12 +263,44 @@
             return;
         }
         mExchange = Optional.empty();
-        if (keepsAlive && mPipelined.isEmpty() && mPendingRefusal.isPresent()) {
-            mPendingRefusal.get().run();
-        } else if (keepsAlive) {
+        mMemory.release(exchange.requestBytes());
+        mReader.requestEnded();
+        if (!keepsAlive) {
+            mIgnoresInput = true;
+        } else if (!mPipelined.isEmpty()) {
             startNext();
+        } else if (mPendingRefusal.isPresent()) {
+            mPendingRefusal.get().run();
+        } else if (mReader.isReadingBody()) {
+            readBody();
         } else {
-            mIgnoresInput = true;
+            startNext();
+            mGate.open();
+        }
+    }
+
+    /** Goes on with a request whose head was received during the one before. */
+    private void readBody() {
+        schedule(mServer.limits().idleTimeout(), this::bodyIsLate);
+        if (!mReader.isAwaitingAdmission() || mReader.tryAdmit()) {
+            mGate.open();
+        }
+    }
+
+    /** Called when a complete response waits for the caller to read it. */
+    void responseIsUnread() {
+        mLastUnreadBytes = unreadBytes();
+        mLastProgressNanos = mServer.clock().nanoTime();
+        schedule(mServer.limits().idleTimeout(), this::closeIfUnread);
+    }
+
+    /** Closes a connection whose caller has read nothing of the response for the idle timeout. */
+    private void closeIfUnread() {
+        long unread = unreadBytes();
+        if (mExchange.isPresent() && unread > 0 && unread == mLastUnreadBytes) {
+            close();
+        } else if (mExchange.isPresent()) {
+            responseIsUnread();
         }
     }
 
@@ -255,11 +323,13 @@
     }
 
     /** Refuses invalid input and closes the connection, after any response in progress. */
-    private void refuseAndClose(int status, String message) {
+    @Override
+    public void refused(int status, String message) {
         if (mIgnoresInput) {
             return;
         }
         mIgnoresInput = true;
+        mGate.discard();
         if (mExchange.isPresent()) {
             mPendingRefusal = Optional.of(() -> writeRefusal(status, message));
         } else {
@@ -278,6 +348,10 @@
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
                 .set(HttpHeaderNames.CONNECTION, "close");
+        if (status == RequestReader.STATUS_UNAVAILABLE) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER);
+        }
+        schedule(mServer.limits().idleTimeout(), this::close);
         mContext.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
@@ -286,12 +360,27 @@
      * because the connection is new.
      */
     void closeIfIdle(long nowNanos) {
-        boolean isNew = !mHasReceived && nowNanos - mOpenedAtNanos < FIRST_REQUEST_TIME.toNanos();
-        if (mExchange.isEmpty() && mHead == null && !mIsReadingHead && !isNew) {
+        if (isIdle() && !isNew(nowNanos)) {
             close();
         }
     }
 
+    private boolean isNew(long nowNanos) {
+        return !mHasReceived && nowNanos - mOpenedAtNanos < FIRST_REQUEST_TIME.toNanos();
+    }
+
+    /** Returns whether nothing is being received, in progress or being written. */
+    private boolean isIdle() {
+        return mExchange.isEmpty() && !mReader.isReadingBody() && !mIsReadingHead && !mIgnoresInput;
+    }
+
+    /** Returns whether the connection may be closed so that a new one finds room. */
+    boolean yieldsToNew(long nowNanos) {
+        boolean isReadingHead = mExchange.isEmpty() && !mReader.isReadingBody();
+        boolean isStalled = nowNanos - mLastProgressNanos >= FIRST_REQUEST_TIME.toNanos();
+        return isReadingHead && isStalled;
+    }
+
     void close() {
         mContext.close();
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerExchange.java
@@ -23,6 +23,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.sesamedeck.core.SesamedeckException;
 import org.sesamedeck.request.CallListener;
 import org.sesamedeck.request.CallOptions;
@@ -38,17 +39,29 @@
 
 /** A caller's request and the response written to the caller's connection. */
 final class CallerExchange implements RequestPort {
+    /** Smaller responses are part of the memory of a connection, which has one at a time. */
+    private static final int SMALL_RESPONSE_BYTES = 4 * 1_024;
+
+    /** A caller of a stream who leaves more than this unread is disconnected. */
+    private static final int MAX_UNREAD_BYTES = 1 << 20;
+
+    /** Well below the seconds after which an endpoint cuts off an unread response. */
+    private static final Duration HOLD_TIME = Duration.ofSeconds(1);
+
     private final CallerConnection mConnection;
     private final ChannelHandlerContext mContext;
     private final HeaderCodec mHeaderCodec;
     private final EndpointClient mEndpointClient;
     private final HttpRequest mHead;
-    private final byte[] mBody;
+    private final RequestBody mBody;
+    private final int mRequestBytes;
     private Optional<RequestLifecycle> mLifecycle = Optional.empty();
     private Optional<HttpEndpointCall> mCall = Optional.empty();
     private String mRequestIdentifier = "";
     private boolean mKeepsAlive;
     private boolean mIsFinished;
+    private int mUnreadBytes;
+    private boolean mIsHoldingBack;
 
     CallerExchange(
             CallerConnection connection,
@@ -62,6 +75,7 @@
         mEndpointClient = endpointClient;
         mHead = request.head();
         mBody = request.body();
+        mRequestBytes = request.reservedBytes();
         mKeepsAlive = HttpUtil.isKeepAlive(mHead);
     }
 
@@ -86,11 +100,52 @@
         mLifecycle.ifPresent(RequestLifecycle::callerLeft);
     }
 
+    /** Returns the memory that the connection has reserved for the request. */
+    int requestBytes() {
+        return mRequestBytes;
+    }
+
+    /** Returns whether the response is complete and waits for the caller to read it. */
+    boolean isWritingOut() {
+        return mIsFinished;
+    }
+
+    /** Reads on from the endpoint, since the caller has read what it was sent. */
+    void readOn() {
+        mConnection.memory().release(mUnreadBytes);
+        mUnreadBytes = 0;
+        setReading(true);
+    }
+
+    private void setReading(boolean isReading) {
+        mCall.ifPresent(call -> call.setReading(isReading));
+    }
+
     /**
-     * Pauses or resumes reading the endpoint's response, to apply back pressure from a slow caller.
+     * Holds the endpoint's response back because the caller has not read what it was sent. An
+     * endpoint cuts off a response that stays unread for some seconds, so a part of it is read from
+     * time to time, until the caller has used up its memory.
      */
-    void setReading(boolean isReading) {
-        mCall.ifPresent(call -> call.setReading(isReading));
+    private void holdBack(int bytes) {
+        boolean isReserved =
+                mUnreadBytes + bytes <= MAX_UNREAD_BYTES && mConnection.memory().tryReserve(bytes);
+        if (!isReserved) {
+            mConnection.close();
+            return;
+        }
+        mUnreadBytes += bytes;
+        setReading(false);
+        if (!mIsHoldingBack) {
+            mIsHoldingBack = true;
+            mContext.executor().schedule(this::readPart, HOLD_TIME.toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void readPart() {
+        mIsHoldingBack = false;
+        if (!mIsFinished) {
+            setReading(true);
+        }
     }
 
     @Override
@@ -101,11 +156,11 @@
                         HttpVersion.HTTP_1_1,
                         mHead.method(),
                         mHead.uri(),
-                        Unpooled.wrappedBuffer(mBody),
+                        mBody.toBuffer(),
                         mHeaderCodec.endpointHeaders(mHead, endpoint, options),
                         DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-        if (mBody.length > 0 || mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, mBody.length);
+        if (mBody.size() > 0 || mHead.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, mBody.size());
         }
         HttpEndpointCall call =
                 mEndpointClient.send(
@@ -132,6 +187,13 @@
 
     @Override
     public void respond(ResponseHead head, byte[] body) {
+        if (body.length > SMALL_RESPONSE_BYTES) {
+            if (!mConnection.memory().tryReserve(body.length)) {
+                abort();
+                return;
+            }
+            mUnreadBytes = body.length;
+        }
         HttpResponse received = (HttpResponse) head.transportHead();
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
@@ -166,7 +228,7 @@
     public void streamEvents(byte[] bytes) {
         mContext.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
         if (!mContext.channel().isWritable()) {
-            setReading(false);
+            holdBack(bytes.length);
         }
     }
 
@@ -231,6 +293,15 @@
         }
         // Deferred, so that a request that is refused synchronously ends before the next one
         // starts.
-        mContext.executor().execute(() -> mConnection.exchangeEnded(this, mKeepsAlive));
+        written.addListener(done -> mContext.executor().execute(this::end));
+        if (!written.isDone()) {
+            mConnection.responseIsUnread();
+        }
+    }
+
+    private void end() {
+        mConnection.memory().release(mUnreadBytes);
+        mUnreadBytes = 0;
+        mConnection.exchangeEnded(this, mKeepsAlive);
     }
 }
--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerServer.java
@@ -1,14 +1,16 @@
 package org.sesamedeck.gateway;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpServerCodec;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.HostAddress;
@@ -20,12 +22,24 @@
 public final class CallerServer implements AutoCloseable {
     private static final int BACKLOG = 1024;
 
+    private static final int MIN_READ_BYTES = 512;
+    private static final int FIRST_READ_BYTES = 2 * 1_024;
+
+    /** Bounds what one read may decode: heads with many fields take 60 times their size. */
+    private static final int MAX_READ_BYTES = 16 * 1_024;
+
+    /** After these reads the other connections have their turn. */
+    private static final int READS_PER_TURN = 4;
+
     private final EventLoop mLoop;
     private final Clock mClock;
     private final HeaderCodec mHeaderCodec;
     private final RequestHandler mRequestHandler;
     private final EndpointClient mEndpointClient;
-    private final Set<CallerConnection> mConnections = new HashSet<>();
+    private final CallerLimits mCallerLimits;
+    private final CallerMemory mMemory;
+    private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
+    private long mConnectionsRefused;
     private Channel mListener;
     private boolean mIsStopping;
 
@@ -34,22 +48,38 @@
             Clock clock,
             HeaderCodec headerCodec,
             RequestHandler requestHandler,
-            EndpointClient endpointClient) {
+            EndpointClient endpointClient,
+            CallerLimits callerLimits) {
         mLoop = loop;
         mClock = clock;
         mHeaderCodec = headerCodec;
         mRequestHandler = requestHandler;
         mEndpointClient = endpointClient;
+        mCallerLimits = callerLimits;
+        mMemory = CallerMemory.of(clock, EventLoopTimers.of(loop), callerLimits.memoryBytes());
     }
 
-    /** Returns a server that does not listen yet. */
+    /** Returns a server that does not listen yet, with limits that suit default settings. */
     public static CallerServer create(
             EventLoop loop,
             Clock clock,
             HeaderCodec headerCodec,
             RequestHandler requestHandler,
             EndpointClient endpointClient) {
-        return new CallerServer(loop, clock, headerCodec, requestHandler, endpointClient);
+        return create(
+                loop, clock, headerCodec, requestHandler, endpointClient, CallerLimits.defaults());
+    }
+
+    /** Returns a server that does not listen yet. */
+    public static CallerServer create(
+            EventLoop loop,
+            Clock clock,
+            HeaderCodec headerCodec,
+            RequestHandler requestHandler,
+            EndpointClient endpointClient,
+            CallerLimits callerLimits) {
+        return new CallerServer(
+                loop, clock, headerCodec, requestHandler, endpointClient, callerLimits);
     }
 
     /**
@@ -64,6 +94,11 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                                MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                                        .maxMessagesPerRead(READS_PER_TURN))
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
@@ -80,13 +115,17 @@
         TrafficLimits limits = limits();
         CallerConnection connection =
                 new CallerConnection(this, mHeaderCodec, mRequestHandler, mEndpointClient);
+        HttpHeadersFactory headers =
+                MeteredHeaders.factory(connection.reader()::fieldReceived, limits.headerBytes());
         channel.pipeline()
                 .addLast(
-                        new ReceivedBytesHandler(connection),
+                        connection.gate(),
                         new HttpServerCodec(
                                 new HttpDecoderConfig()
                                         .setMaxInitialLineLength(limits.headerBytes())
-                                        .setMaxHeaderSize(limits.headerBytes())),
+                                        .setMaxHeaderSize(limits.headerBytes())
+                                        .setHeadersFactory(headers)
+                                        .setTrailersFactory(headers)),
                         connection);
     }
 
@@ -110,8 +149,42 @@
         return mIsStopping;
     }
 
+    CallerMemory memory() {
+        return mMemory;
+    }
+
+    /** Returns how many connections were closed to make room for others, or for want of room. */
+    public long connectionsRefused() {
+        return mConnectionsRefused;
+    }
+
+    /** Returns how many callers were ended because memory was short. */
+    public long callersReclaimed() {
+        return mMemory.reclaimed();
+    }
+
+    /** Returns the memory reserved for callers, in bytes. */
+    public long memoryUsed() {
+        return mMemory.usedBytes();
+    }
+
+    /**
+     * Admits a connection. Beyond the limit the one that was opened first of those that have no
+     * request in progress makes room, so that callers who open connections without using them keep
+     * nobody out.
+     */
     void connectionOpened(CallerConnection connection) {
         mConnections.add(connection);
+        if (mConnections.size() <= mCallerLimits.connections()) {
+            return;
+        }
+        mConnectionsRefused++;
+        long now = mClock.nanoTime();
+        mConnections.stream()
+                .filter(other -> other.yieldsToNew(now))
+                .findFirst()
+                .orElse(connection)
+                .close();
     }
 
     void connectionClosed(CallerConnection connection) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -63,6 +63,7 @@
     private volatile boolean mIsStopping;
     private volatile long mConfigurationVersion;
     private boolean mWasReady;
+    private long mCallersLimited;
 
     /** Creates the platform adapter, which needs the event loop of the store client. */
     public interface AdapterFactory {
@@ -112,7 +113,12 @@
         mEndpointClient = EndpointClient.create(mTrafficLoop, clock, headerCodec);
         mCallerServer =
                 CallerServer.create(
-                        mTrafficLoop, clock, headerCodec, mRequestHandler, mEndpointClient);
+                        mTrafficLoop,
+                        clock,
+                        headerCodec,
+                        mRequestHandler,
+                        mEndpointClient,
+                        callerLimits(settings));
         mStatusServer =
                 StatusServer.create(
                         mControlLoop, mPlatform.readinessPath(), this::isReady, this::metrics);
@@ -146,7 +152,21 @@
                 settings.get(GatewaySettings.SPLIT_PHASES),
                 settings.get(GatewaySettings.TRANSFER_TIME),
                 settings.get(GatewaySettings.RETRY_AFTER),
-                settings.get(GatewaySettings.RESPONSE_MEMORY));
+                responseMemory(settings));
+    }
+
+    private static long responseMemory(Settings settings) {
+        return CallerLimits.responseMemory(
+                settings.get(GatewaySettings.RESPONSE_MEMORY), Runtime.getRuntime().maxMemory());
+    }
+
+    private static CallerLimits callerLimits(Settings settings) {
+        int descriptors = (int) (long) settings.get(GatewaySettings.DESCRIPTORS);
+        return CallerLimits.of(
+                settings.get(GatewaySettings.CALLER_MEMORY),
+                Runtime.getRuntime().maxMemory(),
+                responseMemory(settings),
+                descriptors > 0 ? descriptors : DescriptorLimit.ofThisProcess());
     }
 
     /** Returns a daemon that has not started. */
@@ -191,7 +211,7 @@
                     follow(mPlatform.peers(), mPeerExchange, WatchPace.SLOW, seed + 1);
                 });
         mTrafficLoop.scheduleAtFixedRate(
-                mRoleAdvisor::check,
+                this::checkEachSecond,
                 CHECK_INTERVAL.toMillis(),
                 CHECK_INTERVAL.toMillis(),
                 TimeUnit.MILLISECONDS);
@@ -202,6 +222,19 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void checkEachSecond() {
+        mRoleAdvisor.check();
+        long limited = mCallerServer.callersReclaimed() + mCallerServer.connectionsRefused();
+        if (limited > mCallersLimited) {
+            mLog.record(
+                    entry(Decision.CALLERS_LIMITED)
+                            .with("ended", limited - mCallersLimited)
+                            .with("memory", mCallerServer.memoryUsed())
+                            .with("connections", mCallerServer.connections()));
+            mCallersLimited = limited;
+        }
+    }
+
     private WatchPace pace(Setting<Duration> bound) {
         return WatchPace.within(mSettings.get(GatewaySettings.SETTLING_TIME), mSettings.get(bound));
     }
@@ -278,6 +311,10 @@
         text.value("sesamedeck_configuration_version", mConfigurationVersion);
         text.value("sesamedeck_requests_active", mRequestHandler.activeRequests());
         text.value("sesamedeck_caller_connections", mCallerServer.connections());
+        text.value("sesamedeck_caller_memory_bytes", mCallerServer.memoryUsed());
+        text.value(
+                "sesamedeck_caller_connections_refused_total", mCallerServer.connectionsRefused());
+        text.value("sesamedeck_callers_reclaimed_total", mCallerServer.callersReclaimed());
         text.value("sesamedeck_endpoint_connections_total", mEndpointClient.connectionsOpened());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
@@ -131,7 +131,31 @@
                     SettingTypes.wholeNumber(1 << 20, 1L << 36),
                     "16777216",
                     "Memory for the responses that are passed on only when they are complete, in"
-                            + " bytes. One response may take a quarter of it.");
+                            + " bytes, at most a quarter of the heap. One response may take a quarter of it.");
+
+    /** Memory for what is held for callers. */
+    public static final Setting<Long> CALLER_MEMORY =
+            Setting.optional(
+                    "callers",
+                    "memory",
+                    SettingTypes.wholeNumber(0, 1L << 36),
+                    "0",
+                    "Memory for connections, requests and unread responses of all callers, in"
+                            + " bytes; 0 for three tenths of the heap that responses leave. Larger"
+                            + " bodies than 128 KiB wait for room in three quarters of it; a"
+                            + " request that finds none is refused.");
+
+    /** Descriptors that the process may open. */
+    public static final Setting<Long> DESCRIPTORS =
+            Setting.optional(
+                    "callers",
+                    "descriptors",
+                    SettingTypes.wholeNumber(0, 1 << 24),
+                    "0",
+                    "Descriptors that the process may open; 0 for the limit that the system sets."
+                            + " Three quarters of those beyond 200 are for connections of"
+                            + " callers, if their memory suffices at 16 KiB each. Beyond that the"
+                            + " oldest connection without a request is closed.");
 
     /** Whether prefill and decode may run on different engines. */
     public static final Setting<Boolean> SPLIT_PHASES =
@@ -229,6 +253,8 @@
                 RETRY_SLACK,
                 RETRY_AFTER,
                 RESPONSE_MEMORY,
+                CALLER_MEMORY,
+                DESCRIPTORS,
                 SPLIT_PHASES,
                 TRANSFER_TIME,
                 PROMPT_TOKEN_TIME,
--- a/gateway/src/main/java/org/sesamedeck/gateway/StatusServer.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/StatusServer.java
@@ -2,24 +2,23 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.sesamedeck.core.HostAddress;
@@ -27,12 +26,23 @@
 /** HTTP server for readiness checks and metrics. */
 public final class StatusServer implements AutoCloseable {
     private static final String METRICS_PATH = "/metrics";
-    private static final int MAX_REQUEST_BYTES = 8_192;
+    private static final int MAX_HEAD_BYTES = 16 * 1_024;
+
+    /** A load balancer uses one or a few connections. */
+    private static final int MAX_CONNECTIONS = 64;
+
+    /** Memory for the header fields of all requests that are being received. */
+    private static final int MAX_FIELD_BYTES = 4 << 20;
+
+    private static final int MIN_READ_BYTES = 512;
+    private static final int MAX_READ_BYTES = 4 * 1_024;
 
     private final EventLoop mLoop;
     private final String mReadinessPath;
     private final BooleanSupplier mIsReady;
     private final Supplier<String> mMetrics;
+    private final Set<StatusConnection> mConnections = new LinkedHashSet<>();
+    private int mFieldBytes;
     private Channel mListener;
 
     private StatusServer(
@@ -66,15 +76,16 @@
                         .group(mLoop)
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                                MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES)
+                                        .maxMessagesPerRead(1))
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        channel.pipeline()
-                                                .addLast(
-                                                        new HttpServerCodec(),
-                                                        new HttpObjectAggregator(MAX_REQUEST_BYTES),
-                                                        new Handler());
+                                        addHandlers(channel);
                                     }
                                 })
                         .bind(address.toSocketAddress())
@@ -82,6 +93,53 @@
                         .channel();
     }
 
+    private void addHandlers(Channel channel) {
+        StatusConnection connection = new StatusConnection(this);
+        HttpHeadersFactory headers =
+                MeteredHeaders.factory(connection::fieldReceived, MAX_HEAD_BYTES);
+        channel.pipeline()
+                .addLast(
+                        new HttpServerCodec(
+                                new HttpDecoderConfig()
+                                        .setMaxInitialLineLength(MAX_HEAD_BYTES)
+                                        .setMaxHeaderSize(MAX_HEAD_BYTES)
+                                        .setHeadersFactory(headers)
+                                        .setTrailersFactory(headers)),
+                        connection);
+    }
+
+    /**
+     * Admits a connection. Beyond the limit the oldest one makes room, those that never sent a
+     * request first, so that a load balancer always gets its answer.
+     */
+    void connectionOpened(StatusConnection connection) {
+        mConnections.add(connection);
+        if (mConnections.size() > MAX_CONNECTIONS) {
+            mConnections.stream()
+                    .filter(other -> !other.hasResponded() && other != connection)
+                    .findFirst()
+                    .orElseGet(() -> mConnections.iterator().next())
+                    .close();
+        }
+    }
+
+    void connectionClosed(StatusConnection connection) {
+        mConnections.remove(connection);
+    }
+
+    /** Reserves memory for header fields; the caller without any is closed. */
+    boolean tryReserveHead(int bytes) {
+        if (mFieldBytes + bytes > MAX_FIELD_BYTES) {
+            return false;
+        }
+        mFieldBytes += bytes;
+        return true;
+    }
+
+    void releaseHead(int bytes) {
+        mFieldBytes -= bytes;
+    }
+
     @Override
     public void close() {
         if (mListener != null) {
@@ -89,7 +147,7 @@
         }
     }
 
-    private FullHttpResponse responseFor(String path) {
+    FullHttpResponse responseFor(String path) {
         if (path.equals(mReadinessPath)) {
             return mIsReady.getAsBoolean()
                     ? response(HttpResponseStatus.OK, "ready\n")
@@ -110,25 +168,4 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         return response;
     }
-
-    /** Handles the requests of one connection. */
-    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            FullHttpResponse response = responseFor(request.uri());
-            boolean keepsAlive = HttpUtil.isKeepAlive(request);
-            if (!keepsAlive) {
-                response.headers().set(HttpHeaderNames.CONNECTION, "close");
-            }
-            var written = context.writeAndFlush(response);
-            if (!keepsAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
-    }
 }
--- a/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
@@ -163,6 +163,16 @@
         return socket;
     }
 
+    /** Connects with a small receive buffer, so that what is not read stays with the gateway. */
+    Socket connectSlowly() throws IOException {
+        Socket socket = new Socket();
+        mResources.add(0, socket);
+        socket.setReceiveBufferSize(4_096);
+        socket.connect(mCallerAddress.toSocketAddress());
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
     static void send(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -1,6 +1,5 @@
 package org.sesamedeck.request;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -38,7 +37,7 @@
     private final RequestPhase mPhase;
     private final boolean mExpectsStream;
     private final PromptPartGuard mPromptParts;
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private final ByteBlocks mBody = ByteBlocks.create(0);
     private final EventStreamParser mEvents = new EventStreamParser();
     private Optional<EndpointCall> mCall = Optional.empty();
     private Optional<ResponseHead> mHead = Optional.empty();
@@ -136,8 +135,9 @@
         }
         if (isStream()) {
             readEvents(bytes);
-        } else if (mHandler.responseMemory().tryReserve(mBody.size(), bytes.length)) {
-            mBody.writeBytes(bytes);
+        } else if (mHandler.responseMemory()
+                .tryReserve(mBody.capacity(), mBody.growth(bytes.length))) {
+            mBody.add(bytes, 0, bytes.length);
         } else {
             endAsLost("no memory for more than " + mBody.size() + " bytes of the response");
         }
@@ -292,7 +292,7 @@
     /** Ends the call; the memory of its body counts no longer, since it is passed on at once. */
     private void end() {
         mIsOver = true;
-        mHandler.responseMemory().release(mBody.size());
+        mHandler.responseMemory().release(mBody.capacity());
     }
 
     private boolean isStream() {
--- a/request/src/main/java/org/sesamedeck/request/Decision.java
+++ b/request/src/main/java/org/sesamedeck/request/Decision.java
@@ -47,6 +47,7 @@
     RELOADED,
     STOPPING,
     STOPPED,
+    CALLERS_LIMITED,
     LINES_DROPPED,
     LIBRARY_MESSAGE,
     UNEXPECTED_ERROR;
--- a/request/src/main/java/org/sesamedeck/request/ResponseMemory.java
+++ b/request/src/main/java/org/sesamedeck/request/ResponseMemory.java
@@ -22,13 +22,13 @@
     }
 
     /**
-     * Reserves memory for more bytes of a response.
+     * Reserves memory for more of a response.
      *
-     * @param received bytes of the response that are reserved already
+     * @param reserved bytes that are reserved for the response already
      * @return false if the response is too large or the memory is used up; nothing is reserved then
      */
-    boolean tryReserve(int received, int bytes) {
-        boolean isTooLarge = (received + (long) bytes) * MAX_SHARE > mLimitBytes;
+    boolean tryReserve(int reserved, int bytes) {
+        boolean isTooLarge = (reserved + (long) bytes) * MAX_SHARE > mLimitBytes;
         if (isTooLarge || mUsedBytes + bytes > mLimitBytes) {
             return false;
         }
