--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
@@ -160,7 +160,8 @@
 
     @Override
     public void continueBody(HttpRequest head) {
-        if (HttpUtil.is100ContinueExpected(head)) {
+        // The response in progress comes first; see readBody.
+        if (mExchange.isEmpty() && HttpUtil.is100ContinueExpected(head)) {
             mContext.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -282,7 +283,10 @@
     /** Goes on with a request whose head was received during the one before. */
     private void readBody() {
         schedule(mServer.limits().idleTimeout(), this::bodyIsLate);
-        if (!mReader.isAwaitingAdmission() || mReader.tryAdmit()) {
+        if (!mReader.isAwaitingAdmission()) {
+            mReader.continueBody();
+            mGate.open();
+        } else if (mReader.tryAdmit()) {
             mGate.open();
         }
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerExchange.java
@@ -45,6 +45,9 @@
     /** A caller of a stream who leaves more than this unread is disconnected. */
     private static final int MAX_UNREAD_BYTES = 1 << 20;
 
+    /** Objects that hold a part of a stream until it is written, in bytes. */
+    private static final int PART_OVERHEAD_BYTES = 256;
+
     /** Well below the seconds after which an endpoint cuts off an unread response. */
     private static final Duration HOLD_TIME = Duration.ofSeconds(1);
 
@@ -228,7 +231,7 @@
     public void streamEvents(byte[] bytes) {
         mContext.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
         if (!mContext.channel().isWritable()) {
-            holdBack(bytes.length);
+            holdBack(bytes.length + PART_OVERHEAD_BYTES);
         }
     }
 
--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerLimits.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerLimits.java
@@ -10,8 +10,8 @@
     /** Descriptors that the platform keeps for files. */
     private static final int RESERVED_DESCRIPTORS = 200;
 
-    /** The rest is left for connections to endpoints, to the store and for status requests. */
-    private static final double CALLER_DESCRIPTOR_FRACTION = 0.75;
+    /** A request in progress takes a second descriptor, and an idle endpoint connection a third. */
+    private static final int DESCRIPTORS_PER_CALLER = 3;
 
     /** The rest of the heap holds the process's own state and short-lived objects. */
     private static final double HEAP_FRACTION = 0.3;
@@ -33,8 +33,7 @@
             long memoryBytes, long heapBytes, long responseBytes, int descriptors) {
         long derived = Math.round((heapBytes - responseBytes) * HEAP_FRACTION);
         long memory = memoryBytes > 0 ? memoryBytes : Math.max(1 << 20, derived);
-        long byDescriptors =
-                Math.round((descriptors - RESERVED_DESCRIPTORS) * CALLER_DESCRIPTOR_FRACTION);
+        long byDescriptors = (descriptors - RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_CALLER;
         long byMemory = memory / 2 / ConnectionMemory.BASE_BYTES;
         long connections = Math.max(MIN_CONNECTIONS, Math.min(byDescriptors, byMemory));
         return new CallerLimits(memory, (int) connections);
--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerServer.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerServer.java
@@ -22,6 +22,18 @@
 public final class CallerServer implements AutoCloseable {
     private static final int BACKLOG = 1024;
 
+    /**
+     * Accepted connections inherit it. Without it the system keeps megabytes for each connection
+     * that is not read from, which count as memory of this process.
+     */
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1_024;
+
+    /**
+     * The system reports progress of a caller when a third of the buffer is free. With the
+     * megabytes that it would choose, a caller that reads slowly looks like one that reads nothing.
+     */
+    private static final int SEND_BUFFER_BYTES = 128 * 1_024;
+
     private static final int MIN_READ_BYTES = 512;
     private static final int FIRST_READ_BYTES = 2 * 1_024;
 
@@ -94,6 +106,8 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+                        .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                         .childOption(
                                 ChannelOption.RECVBUF_ALLOCATOR,
                                 new AdaptiveRecvByteBufAllocator(
@@ -180,11 +194,13 @@
         }
         mConnectionsRefused++;
         long now = mClock.nanoTime();
-        mConnections.stream()
-                .filter(other -> other.yieldsToNew(now))
-                .findFirst()
-                .orElse(connection)
-                .close();
+        CallerConnection closed =
+                mConnections.stream()
+                        .filter(other -> other.yieldsToNew(now))
+                        .findFirst()
+                        .orElse(connection);
+        mConnections.remove(closed);
+        closed.close();
     }
 
     void connectionClosed(CallerConnection connection) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/EndpointClient.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/EndpointClient.java
@@ -36,6 +36,13 @@
      */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
 
+    /**
+     * The window opens again only when a sixteenth of the buffer is free: with the megabytes that
+     * the system would choose, an endpoint sees no progress for seconds while a slow caller's
+     * response is read in small parts.
+     */
+    private static final int RECEIVE_BUFFER_BYTES = 128 * 1_024;
+
     private static final int MAX_IDLE_PER_ENDPOINT = 16;
 
     private final EventLoop mLoop;
@@ -113,6 +120,7 @@
                 new Bootstrap()
                         .group(mLoop)
                         .channel(NioSocketChannel.class)
+                        .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                         .option(
                                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                                 (int) CONNECT_TIMEOUT.toMillis())
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
@@ -153,7 +153,7 @@
                     SettingTypes.wholeNumber(0, 1 << 24),
                     "0",
                     "Descriptors that the process may open; 0 for the limit that the system sets."
-                            + " Three quarters of those beyond 200 are for connections of"
+                            + " A third of those beyond 200 are for connections of"
                             + " callers, if their memory suffices at 16 KiB each. Beyond that the"
                             + " oldest connection without a request is closed.");
 
--- a/gateway/src/main/java/org/sesamedeck/gateway/JsonDecisionLog.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/JsonDecisionLog.java
@@ -32,6 +32,9 @@
      */
     private static final int MAX_OUTSIDE_SAMPLE_PER_SECOND = 25;
 
+    /** Callers choose the identifiers of their requests. */
+    private static final int MAX_IDENTIFIER_LENGTH = 128;
+
     private static final long SECOND_NANOS = 1_000_000_000L;
 
     private final Clock mClock;
@@ -78,7 +81,8 @@
             mSampledOut++;
             return;
         }
-        Optional<String> request = Optional.of(trace.identifier());
+        Optional<String> request =
+                Optional.of(LogEntry.shorten(trace.identifier(), MAX_IDENTIFIER_LENGTH));
         trace.entries().forEach(entry -> append(request, entry));
     }
 
--- a/gateway/src/main/java/org/sesamedeck/gateway/RequestReader.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/RequestReader.java
@@ -213,6 +213,11 @@
         mListener.continueBody(mHead);
     }
 
+    /** Lets the body follow that was announced during the request before. */
+    void continueBody() {
+        mListener.continueBody(mHead);
+    }
+
     /** Returns whether the large body arrives too slowly to keep others waiting. */
     boolean isSlow(long nowNanos) {
         double seconds = (nowNanos - mWindowStartNanos) / 1e9;
--- a/gateway/src/main/java/org/sesamedeck/gateway/StatusServer.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/StatusServer.java
@@ -115,11 +115,13 @@
     void connectionOpened(StatusConnection connection) {
         mConnections.add(connection);
         if (mConnections.size() > MAX_CONNECTIONS) {
-            mConnections.stream()
-                    .filter(other -> !other.hasResponded() && other != connection)
-                    .findFirst()
-                    .orElseGet(() -> mConnections.iterator().next())
-                    .close();
+            StatusConnection closed =
+                    mConnections.stream()
+                            .filter(other -> !other.hasResponded() && other != connection)
+                            .findFirst()
+                            .orElseGet(() -> mConnections.iterator().next());
+            mConnections.remove(closed);
+            closed.close();
         }
     }
 
--- a/gateway/src/test/java/org/sesamedeck/gateway/JsonDecisionLogTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/JsonDecisionLogTest.java
@@ -39,6 +39,21 @@
         }
     }
 
+    /** Guards against a queue of lines with texts of callers that takes the whole heap. */
+    @Test
+    void textsOfCallersAreCut() {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        JsonDecisionLog log = JsonDecisionLog.create(mClock, "node", output);
+        for (int i = 0; i < 32; i++) {
+            RequestTrace trace = RequestTrace.of(i + "x".repeat(16_000), "route");
+            trace.add(Decision.REFUSED, mClock.nanoTime()).with("cause", "y".repeat(16_000));
+            log.requestEnded(trace);
+        }
+        log.close();
+        assertThat(output.size() > 0, is(true));
+        assertThat(output.size() < 32 * 2_000, is(true));
+    }
+
     /** Guards against logging only some of the lines of a request. */
     @Test
     void requestIsLoggedWithAllLinesOrNone() {
--- a/request/src/main/java/org/sesamedeck/request/LogEntry.java
+++ b/request/src/main/java/org/sesamedeck/request/LogEntry.java
@@ -5,6 +5,8 @@
 
 /** One entry of the decision log: a decision and the inputs that determined it. */
 public final class LogEntry {
+    private static final int MAX_TEXT_LENGTH = 1_024;
+
     private final Decision mDecision;
     private final long mAtNanos;
     private final List<Field> mFields = new ArrayList<>(6);
@@ -31,12 +33,21 @@
         return new LogEntry(decision, atNanos);
     }
 
-    /** Adds a field and returns this entry. */
+    /** Adds a field and returns this entry; a long text is cut. */
     public LogEntry with(String name, Object value) {
-        mFields.add(new Field(name, value));
+        boolean isLong = value instanceof String text && text.length() > MAX_TEXT_LENGTH;
+        mFields.add(new Field(name, isLong ? shorten((String) value, MAX_TEXT_LENGTH) : value));
         return this;
     }
 
+    /**
+     * Returns at most the given number of characters of a text. Callers determine some texts, and
+     * thousands of lines with such texts may wait to be written.
+     */
+    public static String shorten(String text, int length) {
+        return text.length() <= length ? text : text.substring(0, length);
+    }
+
     public Decision decision() {
         return mDecision;
     }
