--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -68,6 +68,7 @@
     private volatile boolean mIsStopping;
     private volatile long mConfigurationVersion;
     private boolean mWasReady;
+    private long mCallersLimited;
 
     /** Creates the platform adapter, which needs the event loop of the store client. */
     public interface AdapterFactory {
@@ -125,7 +126,12 @@
         mEndpointClient = EndpointClient.create(mTrafficLoop, clock, headerCodec);
         mCallerServer =
                 CallerServer.create(
-                        mTrafficLoop, clock, headerCodec, mRequestHandler, mEndpointClient);
+                        mTrafficLoop,
+                        clock,
+                        headerCodec,
+                        mRequestHandler,
+                        mEndpointClient,
+                        callerLimits(settings));
         mStatusServer =
                 StatusServer.create(
                         mControlLoop, mPlatform.readinessPath(), this::isReady, this::metrics);
@@ -183,7 +189,21 @@
                 settings.get(GatewaySettings.SPLIT_PHASES),
                 settings.get(GatewaySettings.TRANSFER_TIME),
                 settings.get(GatewaySettings.RETRY_AFTER),
-                settings.get(GatewaySettings.RESPONSE_MEMORY));
+                responseMemory(settings));
+    }
+
+    private static long responseMemory(Settings settings) {
+        return CallerLimits.responseMemory(
+                settings.get(GatewaySettings.RESPONSE_MEMORY), Runtime.getRuntime().maxMemory());
+    }
+
+    private static CallerLimits callerLimits(Settings settings) {
+        int descriptors = (int) (long) settings.get(GatewaySettings.DESCRIPTORS);
+        return CallerLimits.of(
+                settings.get(GatewaySettings.CALLER_MEMORY),
+                Runtime.getRuntime().maxMemory(),
+                responseMemory(settings),
+                descriptors > 0 ? descriptors : DescriptorLimit.ofThisProcess());
     }
 
     /** Returns a daemon that has not started. */
@@ -234,7 +254,7 @@
                     mServerScaler.ifPresent(this::startScaling);
                 });
         mTrafficLoop.scheduleAtFixedRate(
-                mRoleAdvisor::check,
+                this::checkEachSecond,
                 CHECK_INTERVAL.toMillis(),
                 CHECK_INTERVAL.toMillis(),
                 TimeUnit.MILLISECONDS);
@@ -261,6 +281,19 @@
         return mPeerExchange.watchSchedule(feed.kind(), pace);
     }
 
+    private void checkEachSecond() {
+        mRoleAdvisor.check();
+        long limited = mCallerServer.callersReclaimed() + mCallerServer.connectionsRefused();
+        if (limited > mCallersLimited) {
+            mLog.record(
+                    entry(Decision.CALLERS_LIMITED)
+                            .with("ended", limited - mCallersLimited)
+                            .with("memory", mCallerServer.memoryUsed())
+                            .with("connections", mCallerServer.connections()));
+            mCallersLimited = limited;
+        }
+    }
+
     private <T> void follow(
             Feed<T> feed, FeedFollower.Listener<T> listener, WatchSchedule schedule, long seed) {
         EventLoopTimers timers = EventLoopTimers.of(mControlLoop);
@@ -345,6 +378,10 @@
         text.value("sesamedeck_configuration_version", mConfigurationVersion);
         text.value("sesamedeck_requests_active", mRequestHandler.activeRequests());
         text.value("sesamedeck_caller_connections", mCallerServer.connections());
+        text.value("sesamedeck_caller_memory_bytes", mCallerServer.memoryUsed());
+        text.value(
+                "sesamedeck_caller_connections_refused_total", mCallerServer.connectionsRefused());
+        text.value("sesamedeck_callers_reclaimed_total", mCallerServer.callersReclaimed());
         text.value("sesamedeck_endpoint_connections_total", mEndpointClient.connectionsOpened());
         text.value("sesamedeck_endpoints_stated_leaving", mRouter.statedLeavingEndpoints());
         text.value("sesamedeck_endpoints_held_off", mRouter.heldEndpoints());
