Orders go on after a refusal of one domain

A round ended with the first refusal, so with no reclaimable servers anywhere each of six domains took a second before ordinary ones were ordered. A round now goes on after up to three refusals; a refused give-back still ends it. Two tests of ServerScalerTest cover both bounds.

--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
@@ -32,10 +32,10 @@
  * process that holds the duties. Confined to the control thread.
  *
  * <p>The right is confirmed in the store before each round of orders and checked again before each
- * order. Orders are sent one after the other. A round ends with the first order that is not
- * accepted: a conflict may mean that another process holds the duties, which the next confirmation
- * shows. An order without an answer may still be carried out, so it is recorded like one that was
- * accepted, and what the endpoint table shows later decides.
+ * order. Orders are sent one after the other. A round goes on after a few refusals, since a domain
+ * may have no servers, and ends with any other failure. An order without an answer may still be
+ * carried out, so it is recorded like one that was accepted, and what the endpoint table shows
+ * later decides.
  *
  * <p>Services with fixed numbers of servers are left alone.
  */
@@ -55,7 +55,9 @@
     /** Bounds the calls to the platform, which accepts a limited number a second in all. */
     private static final int MAX_ORDERS_PER_ROUND = 12;
 
-    private static final int MAX_ROLE_CHANGES_PER_ROUND = 1;
+    /** Several domains may have no servers; more refusals may be due to another holder. */
+    private static final int MAX_REFUSALS_PER_ROUND = 3;
+
     private static final Duration DEFAULT_TARGET_LATENCY = Duration.ofSeconds(1);
 
     private final Clock mClock;
@@ -81,6 +83,25 @@
         boolean requestRole(String service, EndpointRole role, List<EndpointDescription> engines);
     }
 
+    /** The orders that are sent on one right. */
+    private static final class Round {
+        private final Queue<Step> mSteps;
+        private final DutyRight mRight;
+        private int mOrders;
+        private int mRefusals;
+
+        Round(Queue<Step> steps, DutyRight right) {
+            mSteps = steps;
+            mRight = right;
+        }
+
+        boolean isOver() {
+            return mSteps.isEmpty()
+                    || mOrders == MAX_ORDERS_PER_ROUND
+                    || mRefusals == MAX_REFUSALS_PER_ROUND;
+        }
+    }
+
     /** An order of a round. */
     private record Step(ScaledService service, ServerPlan.PoolOrder order) {}
 
@@ -191,7 +212,7 @@
             if (!service.isKnown()) {
                 continue;
             }
-            changeRoles(service);
+            changeRole(service);
             ServerPlan plan = service.plan();
             if (!plan.orders().isEmpty()) {
                 plans.add(() -> logPlan(service, plan));
@@ -209,7 +230,7 @@
                                 mIsOrdering = false;
                             } else {
                                 plans.forEach(Runnable::run);
-                                sendNext(steps, right.get(), MAX_ORDERS_PER_ROUND);
+                                sendNext(new Round(steps, right.get()));
                             }
                         });
     }
@@ -222,26 +243,23 @@
         mPausedUntilNanos = Optional.of(mClock.nanoTime() + time.toNanos());
     }
 
-    private void changeRoles(ScaledService service) {
-        for (int i = 0; i < MAX_ROLE_CHANGES_PER_ROUND; i++) {
-            Optional<EndpointRole> role = service.neededRole();
-            boolean isRequested =
-                    role.isPresent()
-                            && mRoleChanger.requestRole(
-                                    service.name(), role.get(), service.roleCandidates(mRouter));
-            if (!isRequested) {
-                return;
-            }
-            service.roleRequested(mRouter, role.get());
-        }
+    /** Has at most one engine change its role: it refuses work for seconds meanwhile. */
+    private void changeRole(ScaledService service) {
+        service.neededRole()
+                .filter(
+                        role ->
+                                mRoleChanger.requestRole(
+                                        service.name(), role, service.roleCandidates(mRouter)))
+                .ifPresent(role -> service.roleRequested(mRouter, role));
     }
 
-    private void sendNext(Queue<Step> steps, DutyRight right, int allowed) {
-        if (steps.isEmpty() || allowed == 0 || !mHolder.isUsable(right)) {
+    private void sendNext(Round round) {
+        if (round.isOver() || !mHolder.isUsable(round.mRight)) {
             mIsOrdering = false;
             return;
         }
-        Step step = steps.remove();
+        Step step = round.mSteps.remove();
+        round.mOrders++;
         ServerPlan.PoolOrder order = step.order();
         step.service()
                 .ledger()
@@ -256,15 +274,15 @@
                         order.pool().failureDomain(),
                         order.pool().isReclaimable(),
                         order.count());
-        mClient.orderServers(call, right)
+        mClient.orderServers(call, round.mRight)
                 .whenComplete(
                         (result, failure) -> {
                             boolean mayContinue =
                                     failure == null
-                                            ? answered(step, right, result)
-                                            : failed(step, right, failure);
+                                            ? answered(step, round, result)
+                                            : failed(step, round.mRight, failure);
                             if (mayContinue) {
-                                sendNext(steps, right, allowed - 1);
+                                sendNext(round);
                             } else {
                                 mIsOrdering = false;
                             }
@@ -272,8 +290,8 @@
     }
 
     /** Records the answer to an order and returns whether the round goes on. */
-    private boolean answered(Step step, DutyRight right, DutyResult result) {
-        mLog.record(entry(Decision.SERVERS_ORDERED, step, right).with("result", result));
+    private boolean answered(Step step, Round round, DutyResult result) {
+        mLog.record(entry(Decision.SERVERS_ORDERED, step, round.mRight).with("result", result));
         switch (result) {
             case ACCEPTED -> {
                 step.service().ledger().accepted(step.order().pool());
@@ -281,18 +299,20 @@
             }
             case CONFLICT -> {
                 step.service().ledger().refused(step.order().pool());
+                round.mRefusals++;
                 // Servers can always be given back, so the platform has seen another holder.
                 boolean isGiveBack = step.order().count() < step.order().present();
                 if (isGiveBack) {
                     pause(CONFLICT_PAUSE);
                 }
+                return !isGiveBack;
             }
             default -> {
                 step.service().ledger().notOrdered(step.order().pool());
                 pause(PAUSE);
+                return false;
             }
         }
-        return false;
     }
 
     private boolean failed(Step step, DutyRight right, Throwable failure) {
--- a/gateway/src/test/java/org/sesamedeck/gateway/scaling/ServerScalerTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/scaling/ServerScalerTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasItems;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -99,6 +100,7 @@
     /** A platform that answers each order as the test says. */
     private static final class FakeClient implements DutyClient {
         private final List<ServerOrder> mOrders = new ArrayList<>();
+        private Set<String> mRefusing = Set.of();
         private CompletableFuture<DutyResult> mAnswer =
                 CompletableFuture.completedFuture(DutyResult.ACCEPTED);
 
@@ -110,7 +112,9 @@
         @Override
         public CompletableFuture<DutyResult> orderServers(ServerOrder order, DutyRight right) {
             mOrders.add(order);
-            return mAnswer;
+            return mRefusing.contains(order.failureDomain())
+                    ? CompletableFuture.completedFuture(DutyResult.CONFLICT)
+                    : mAnswer;
         }
 
         void answer(DutyResult result) {
@@ -262,6 +266,36 @@
                 hasSize(1));
     }
 
+    /** Guards against servers that come late because another domain has none. */
+    @Test
+    void refusalOfOneDomainDoesNotDelayTheOthers() {
+        start();
+        mClient.mRefusing = Set.of("a");
+        seconds(1);
+        assertThat(
+                mClient.mOrders.stream().map(ServerOrder::failureDomain).toList(),
+                hasItems("a", "b", "c"));
+    }
+
+    /** Guards against calling on without end while the platform refuses everything. */
+    @Test
+    void roundEndsAfterAFewRefusals() {
+        ScalingTerms terms =
+                new ScalingTerms(
+                        1,
+                        20,
+                        Duration.ofSeconds(4),
+                        0.2,
+                        Map.of("a", 1.0, "b", 1.0, "c", 1.0, "d", 1.0, "e", 1.0),
+                        32);
+        configure(Optional.of(terms));
+        mScaler.updateEndpoints(servers(12, 0));
+        mClock.advance(Duration.ofSeconds(6));
+        mClient.answer(DutyResult.CONFLICT);
+        seconds(1);
+        assertThat(mClient.mOrders, hasSize(3));
+    }
+
     /** Guards against orders after another holder has been seen by the platform. */
     @Test
     void conflictOfGiveBackStopsOrders() {
