--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -285,7 +285,7 @@
 
     /** Returns the number of endpoints that have asked for no requests and are held off now. */
     public long heldEndpoints() {
-        return mTable.states().values().stream().filter(EndpointState::isHeld).count();
+        return mTable.states().values().stream().filter(state -> state.hold().isActive()).count();
     }
 
     @Override
