--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -185,6 +185,28 @@
         return new DecodeCapacity(inProgress, capacity);
     }
 
+    @Override
+    public double promptBacklogNanos(RequestProfile profile) {
+        Candidates candidates = mTable.candidates(profile.target());
+        double prefill = meanWaitNanos(candidates.ofRole(EndpointRole.PREFILL));
+        return prefill >= 0
+                ? prefill
+                : Math.max(0, meanWaitNanos(candidates.ofRole(EndpointRole.MIXED)));
+    }
+
+    /** Returns the mean expected wait at the usable endpoints; negative if there is none. */
+    private double meanWaitNanos(EndpointState[] endpoints) {
+        double sum = 0;
+        int usable = 0;
+        for (EndpointState state : endpoints) {
+            if (state.isUsable()) {
+                sum += state.expectedWaitNanos(mProcesses);
+                usable++;
+            }
+        }
+        return usable == 0 ? -1 : sum / usable;
+    }
+
     @Override
     public synchronized void updateEndpoints(List<EndpointDescription> endpoints) {
         Map<String, EndpointState> known = new HashMap<>(mTable.states());
--- /dev/null
+++ b/routing/src/test/java/org/sesamedeck/routing/AccountSharesTest.java
@@ -0,0 +1,51 @@
+package org.sesamedeck.routing;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sesamedeck.core.ManualClock;
+
+class AccountSharesTest {
+    private final ManualClock mClock = ManualClock.create();
+    private final AccountShares mShares = AccountShares.create(mClock);
+
+    /** Guards against setting back an account that nobody competes with. */
+    @Test
+    void accountThatIsAloneMayUseEverything() {
+        mShares.record("library", 1e9);
+        assertThat(mShares.isOverShare("library"), is(false));
+        assertThat(mShares.isOverShare(""), is(false));
+    }
+
+    /** Guards against judging an account by what one process sees of it. */
+    @Test
+    void usageOfOtherProcessesCounts() {
+        for (int i = 0; i < 9; i++) {
+            mShares.record("account " + i, 100);
+        }
+        mClock.advance(Duration.ofSeconds(1));
+        assertThat(mShares.isOverShare("account 0"), is(false));
+        mShares.updatePeers(List.of(new AccountUsage("account 0", 10_000)));
+        mClock.advance(Duration.ofSeconds(1));
+        assertThat(mShares.isOverShare("account 0"), is(true));
+        assertThat(mShares.isOverShare("account 1"), is(false));
+    }
+
+    /**
+     * Guards against setting an account back for long after its burst, and against growing state.
+     */
+    @Test
+    void usageIsForgotten() {
+        for (int i = 0; i < 9; i++) {
+            mShares.record("account " + i, i == 0 ? 10_000 : 100);
+        }
+        assertThat(mShares.isOverShare("account 0"), is(true));
+        mClock.advance(Duration.ofMinutes(2));
+        assertThat(mShares.isOverShare("account 0"), is(false));
+        assertThat(mShares.own(10), hasSize(0));
+    }
+}
