Requests whose callers would leave first are refused at once

What callers saw: with a long backlog at the engines, requests waited until their callers left, without an answer. The gateway now asks StartPolicy for each request to engines and answers 503 at once, with the backlog as Retry-After.

--- a/request/src/main/java/org/sesamedeck/request/EnginePriorities.java
+++ b/request/src/main/java/org/sesamedeck/request/EnginePriorities.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.sesamedeck.routing.StartPolicy;
 
 /**
  * Decides the priority at which engines admit requests. Confined to one thread.
@@ -29,8 +30,15 @@
         mMeanPromptTokens.put(route.name(), mean + LEARNING_RATE * (promptTokens - mean));
     }
 
+    /** Returns the priority of a request at an engine; 0 is the most urgent. */
+    int of(AcceptedRequest request, long promptTokens) {
+        return request.start() == StartPolicy.Verdict.START_FIRST
+                ? 0
+                : of(request.route(), request.access().priority(), promptTokens);
+    }
+
     /**
-     * Returns the priority of a request at an engine; 0 is the most urgent.
+     * Returns the priority of a request that is not drawn.
      *
      * @param priority priority of the client account, or else of the route
      */
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -13,6 +13,7 @@
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.RetryBudget;
 import org.sesamedeck.routing.Router;
+import org.sesamedeck.routing.StartPolicy;
 import org.sesamedeck.routing.quarantine.PartQuarantine;
 
 /**
@@ -39,6 +40,7 @@
     private final Map<String, RetryBudget> mRetryBudgets = new HashMap<>();
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
     private final ResponseLengths mResponseLengths = new ResponseLengths();
+    private final RequestStarts mStarts;
     private final Map<String, RequestQueue> mRequestQueues = new HashMap<>();
     private final ResponseMemory mResponseMemory;
     private double mRetryBurst;
@@ -65,6 +67,7 @@
         mQuarantine = quarantine;
         mUsageObserver = usageObserver;
         mPhaseSplit = PhaseSplitPolicy.of(router, settings);
+        mStarts = RequestStarts.of(clock, router);
     }
 
     /** Returns a handler that refuses all requests until it has a configuration. */
@@ -195,11 +198,21 @@
         mEnginePriorities.record(route.get(), request.promptTokens());
         retryBudget(service).recordRequest();
         AcceptedRequest accepted =
-                new AcceptedRequest(route.get(), access, service, profile, configuration.version());
+                new AcceptedRequest(
+                        route.get(),
+                        access,
+                        service,
+                        profile,
+                        mStarts.decide(request, route.get(), access, service, profile),
+                        configuration.version());
         RequestLifecycle lifecycle =
                 RequestLifecycle.of(this, request, Optional.of(accepted), port);
         mActiveRequests.add(lifecycle);
-        lifecycle.start();
+        if (accepted.start() == StartPolicy.Verdict.REFUSE) {
+            lifecycle.refuseOverloaded();
+        } else {
+            lifecycle.start();
+        }
         return lifecycle;
     }
 
@@ -254,10 +267,18 @@
         return Optional.of(mSettings.retryAfter());
     }
 
-    /** Returns the retry-after delay for a request that waited for decode capacity in vain. */
+    /**
+     * Returns the retry-after delay for a request for which the engines have no room: at least the
+     * time in which they process the prompts that wait there now.
+     */
     Optional<Duration> overloadRetryAfter(AcceptedRequest request, String identifier) {
+        Duration backlog = Duration.ofNanos((long) mRouter.promptBacklogNanos(request.profile()));
+        Duration minimum = mSettings.retryAfter();
         return requestQueue(request.service())
-                .retryAfter(request.access().priority(), mSettings.retryAfter(), identifier);
+                .retryAfter(
+                        request.access().priority(),
+                        backlog.compareTo(minimum) > 0 ? backlog : minimum,
+                        identifier);
     }
 
     RetryBudget retryBudget(String service) {
