--- a/routing/src/main/java/org/sesamedeck/routing/AccountShares.java
+++ b/routing/src/main/java/org/sesamedeck/routing/AccountShares.java
@@ -11,13 +11,13 @@
 import org.sesamedeck.core.Clock;
 
 /**
- * Measures how much work each client account has started lately, over all processes, and decides
- * which accounts use more than their share. Not thread-safe.
+ * Measures how much work each client account has started lately and decides which accounts use more
+ * than their share. Not thread-safe.
  *
- * <p>Each process counts what it has started itself and tells the others; the sums are seconds old
- * at most, and no request needs a call. An account's share is an equal part among the accounts that
- * have used anything. An account above its share is not limited: it only comes after the others
- * where requests wait, so that an account that is alone may use everything.
+ * <p>It counts what this process has started itself, and the usage of the other processes where
+ * that is known; no request needs a call. An account's share is an equal part among the accounts
+ * that have used anything. An account above its share is not limited: it only comes after the
+ * others where requests wait, so that an account that is alone may use everything.
  */
 public final class AccountShares {
     /** Decay time of the usage. */
