--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -199,18 +199,12 @@
             // The requests are refused at once instead of being queued.
             return DecodeCapacity.unlimited();
         }
-        double capacity = 0;
-        double inProgress = 0;
-        for (EndpointState state : mTable.candidates(profile.target()).all()) {
-            if (!state.isUsable()) {
-                continue;
-            }
-            // Every prompt in progress becomes a response soon.
-            inProgress += state.runningNow();
-            capacity +=
-                    state.description().role() == EndpointRole.PREFILL ? 0 : state.decodeCapacity();
-        }
-        return new DecodeCapacity(inProgress, capacity);
+        return EngineCapacity.decode(mTable.candidates(profile.target()));
+    }
+
+    @Override
+    public double promptBacklogNanos(RequestProfile profile) {
+        return EngineCapacity.promptBacklogNanos(mTable.candidates(profile.target()), mProcesses);
     }
 
     @Override
