Missing servers are ordinary ones once two domains have no reclaimable ones

The planner now orders what is missing as ordinary servers as soon as two domains have refused or lost theirs. The new test of ServerPlannerTest failed before (0 ordered where 10 were missing).

--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerPlanner.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerPlanner.java
@@ -32,6 +32,9 @@
     /** Bounds the reclaimable servers beyond the need that make up for a possible loss. */
     private static final double MAX_RESERVE = 1.5;
 
+    /** Domains without reclaimable servers from which on missing servers are ordinary ones. */
+    private static final int SCARCE_DOMAINS = 2;
+
     private static final double ORDINARY_FRACTION = 0.1;
     private static final int MIN_ORDINARY = 2;
 
@@ -142,13 +145,23 @@
     }
 
     private boolean addOne() {
+        boolean isShort = mExpected.total() < mNeeded;
         boolean isAdded =
                 mTerms.offersReclaimable()
                         && lacksReclaimable()
+                        && !(isShort && isReclaimableScarce())
                         && mExpected.addCheapest(true, this::isAvailable);
         // Without the cheaper kind, the need is met by the other one.
-        return isAdded
-                || (mExpected.total() < mNeeded && mExpected.addCheapest(false, this::isAvailable));
+        return isAdded || (isShort && mExpected.addCheapest(false, this::isAvailable));
+    }
+
+    /**
+     * Returns whether several domains have no reclaimable servers. The others then mostly have none
+     * either, and to ask each of them would leave callers short for seconds.
+     */
+    private boolean isReclaimableScarce() {
+        return mLedger.unavailable().stream().filter(ServerPool::isReclaimable).count()
+                >= SCARCE_DOMAINS;
     }
 
     /** Returns whether more reclaimable servers are wanted once ordinary ones are given back. */
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/ServerPlannerTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/ServerPlannerTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.sesamedeck.core.ManualClock;
@@ -147,6 +148,27 @@
         assertThat(mServers.counts().total(), greaterThanOrEqualTo(90));
     }
 
+    /** Guards against asking each domain in turn while servers are missing. */
+    @Test
+    void lossIsMadeUpForAtOnceWhenNoReclaimableServersAreToBeHad() {
+        run(60, 12, 300);
+        SimulatedServers.DOMAINS.forEach(
+                domain -> mServers.setUnavailable(new ServerPool(domain, true), true));
+        mServers.reclaim("a");
+        mServers.reclaim("c");
+        List<ServerPlan.PoolOrder> orders = mServers.second(12, 300).orders();
+        int missing = needed(12, 300) - mServers.counts().total();
+        int ordered =
+                orders.stream()
+                        .filter(order -> !order.pool().isReclaimable())
+                        .mapToInt(order -> order.count() - order.present())
+                        .sum();
+        assertThat(missing, greaterThan(0));
+        assertThat(ordered, greaterThanOrEqualTo(missing));
+        run(5, 12, 300);
+        assertThat(mServers.counts().total(), greaterThanOrEqualTo(needed(12, 300)));
+    }
+
     /** Guards against trusting orders whose answers were lost and that are carried out late. */
     @Test
     void lateOrdersDoNotLeaveTooFewServers() {
