--- a/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
@@ -72,7 +72,12 @@
                         router,
                         new RecordingLog(),
                         new RequestSettings(
-                                0.1, 10, false, Duration.ZERO, Duration.ofMillis(250), 4 << 20),
+                                0.1,
+                                10,
+                                false,
+                                Duration.ZERO,
+                                Duration.ofMillis(250),
+                                responseMemoryBytes()),
                         new NoOpPhaseObserver(),
                         PartQuarantine.create(mClock, "node", QuarantineListener.ignoring()),
                         UsageObserver.NONE);
@@ -180,6 +185,21 @@
         return socket;
     }
 
+    /** Returns the memory for responses that are being received, in bytes. */
+    long responseMemoryBytes() {
+        return 4 << 20;
+    }
+
+    /** Connects with a small receive buffer, so that what is not read stays with the gateway. */
+    Socket connectSlowly() throws IOException {
+        Socket socket = new Socket();
+        mResources.add(0, socket);
+        socket.setReceiveBufferSize(4_096);
+        socket.connect(mCallerAddress.toSocketAddress());
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
     static void send(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -94,6 +94,11 @@
         }
         mConfiguration = Optional.of(configuration);
         List.copyOf(mActiveRequests).forEach(RequestLifecycle::configurationChanged);
+        Map<String, Long> memory = new HashMap<>();
+        for (ServiceDescription service : configuration.services()) {
+            service.engineMemory().ifPresent(tokens -> memory.put(service.name(), tokens));
+        }
+        mRouter.updateEngineMemory(memory);
         return true;
     }
 
@@ -262,9 +267,13 @@
 
     /**
      * Returns the retry-after delay for a request that no endpoint takes: it does not end before
-     * the first endpoint is usable, if that is known.
+     * the first endpoint is usable, if that is known. A request that is too large for any endpoint
+     * has none.
      */
     Optional<Duration> retryAfter(AcceptedRequest accepted, CallerRequest request) {
+        if (mRouter.isOversized(accepted.profile())) {
+            return Optional.empty();
+        }
         return mRouter.timeUntilUsable(accepted.profile())
                 .filter(wait -> wait.compareTo(mSettings.retryAfter()) > 0)
                 .map(wait -> RetryAfterDelay.notBefore(wait, request.identifier()))
