Revert "Requests whose callers would leave first are refused at once"

The patience of callers was also taken from two constants, which would refuse too early on routes with a long gap target or whole responses.

--- a/gateway/src/main/java/org/sesamedeck/gateway/MeteredDecisionLog.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/MeteredDecisionLog.java
@@ -23,7 +23,6 @@
     private final Map<Decision, Long> mDecisions = new EnumMap<>(Decision.class);
     private final Map<RequestOutcome, Long> mOutcomes = new EnumMap<>(RequestOutcome.class);
     private final Map<Object, Long> mRefusals = new TreeMap<>();
-    private final Map<Object, Long> mStarts = new TreeMap<>();
     private final Histogram mTimeToFirstByte = new Histogram(MAX_MILLIS, SIGNIFICANT_DIGITS);
     private final Histogram mTotalTime = new Histogram(MAX_MILLIS, SIGNIFICANT_DIGITS);
 
@@ -57,18 +56,12 @@
     private void count(LogEntry entry) {
         mDecisions.merge(entry.decision(), 1L, Long::sum);
         if (entry.decision() == Decision.REFUSED) {
-            countValues(entry, "code", mRefusals);
-        } else if (entry.decision() == Decision.ADMITTED) {
-            countValues(entry, "start", mStarts);
+            entry.fields().stream()
+                    .filter(field -> field.name().equals("code"))
+                    .forEach(field -> mRefusals.merge(field.value(), 1L, Long::sum));
         }
     }
 
-    private static void countValues(LogEntry entry, String field, Map<Object, Long> counts) {
-        entry.fields().stream()
-                .filter(each -> each.name().equals(field))
-                .forEach(each -> counts.merge(each.value(), 1L, Long::sum));
-    }
-
     private static long millis(long nanos) {
         return Math.max(0, Math.min(MAX_MILLIS, TimeUnit.NANOSECONDS.toMillis(nanos)));
     }
@@ -83,8 +76,6 @@
                         text.value("sesamedeck_decisions_total", "event", decision, count));
         mRefusals.forEach(
                 (code, count) -> text.value("sesamedeck_refusals_total", "code", code, count));
-        mStarts.forEach(
-                (start, count) -> text.value("sesamedeck_starts_total", "start", start, count));
         for (double quantile : QUANTILES) {
             text.value(
                     "sesamedeck_first_byte_milliseconds",
--- a/request/src/main/java/org/sesamedeck/request/AcceptedRequest.java
+++ b/request/src/main/java/org/sesamedeck/request/AcceptedRequest.java
@@ -1,7 +1,6 @@
 package org.sesamedeck.request;
 
 import org.sesamedeck.routing.RequestProfile;
-import org.sesamedeck.routing.StartPolicy;
 
 /**
  * What a configuration determines for a request that it allows.
@@ -10,7 +9,6 @@
  * @param access whether the request may still run, and for which client account
  * @param service service that serves the request
  * @param profile properties that the router uses
- * @param start whether and how the request is sent
  * @param configurationVersion version of the configuration
  */
 record AcceptedRequest(
@@ -18,5 +16,4 @@
         RequestAccess access,
         String service,
         RequestProfile profile,
-        StartPolicy.Verdict start,
         long configurationVersion) {}
--- a/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
+++ b/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
@@ -45,7 +45,11 @@
         return new CallOptions(
                 attempt.phase(),
                 remainingTime,
-                mHandler.enginePriorities().of(mAccepted, mRequest.promptTokens()),
+                mHandler.enginePriorities()
+                        .of(
+                                mAccepted.route(),
+                                mAccepted.access().priority(),
+                                mRequest.promptTokens()),
                 processedPrompt,
                 cacheSource,
                 mAccepted.access().account().map(ClientAccount::name),
--- a/request/src/main/java/org/sesamedeck/request/EnginePriorities.java
+++ b/request/src/main/java/org/sesamedeck/request/EnginePriorities.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.sesamedeck.routing.StartPolicy;
 
 /**
  * Decides the priority at which engines admit requests. Confined to one thread.
@@ -30,15 +29,8 @@
         mMeanPromptTokens.put(route.name(), mean + LEARNING_RATE * (promptTokens - mean));
     }
 
-    /** Returns the priority of a request at an engine; 0 is the most urgent. */
-    int of(AcceptedRequest request, long promptTokens) {
-        return request.start() == StartPolicy.Verdict.START_FIRST
-                ? 0
-                : of(request.route(), request.access().priority(), promptTokens);
-    }
-
     /**
-     * Returns the priority of a request that is not drawn.
+     * Returns the priority of a request at an engine; 0 is the most urgent.
      *
      * @param priority priority of the client account, or else of the route
      */
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -13,7 +13,6 @@
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.RetryBudget;
 import org.sesamedeck.routing.Router;
-import org.sesamedeck.routing.StartPolicy;
 import org.sesamedeck.routing.quarantine.PartQuarantine;
 
 /**
@@ -40,7 +39,6 @@
     private final Map<String, RetryBudget> mRetryBudgets = new HashMap<>();
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
     private final ResponseLengths mResponseLengths = new ResponseLengths();
-    private final RequestStarts mStarts;
     private final Map<String, RequestQueue> mRequestQueues = new HashMap<>();
     private final ResponseMemory mResponseMemory;
     private double mRetryBurst;
@@ -67,7 +65,6 @@
         mQuarantine = quarantine;
         mUsageObserver = usageObserver;
         mPhaseSplit = PhaseSplitPolicy.of(router, settings);
-        mStarts = RequestStarts.of(clock, router);
     }
 
     /** Returns a handler that refuses all requests until it has a configuration. */
@@ -198,21 +195,11 @@
         mEnginePriorities.record(route.get(), request.promptTokens());
         retryBudget(service).recordRequest();
         AcceptedRequest accepted =
-                new AcceptedRequest(
-                        route.get(),
-                        access,
-                        service,
-                        profile,
-                        mStarts.decide(request, route.get(), access, service, profile),
-                        configuration.version());
+                new AcceptedRequest(route.get(), access, service, profile, configuration.version());
         RequestLifecycle lifecycle =
                 RequestLifecycle.of(this, request, Optional.of(accepted), port);
         mActiveRequests.add(lifecycle);
-        if (accepted.start() == StartPolicy.Verdict.REFUSE) {
-            lifecycle.refuseOverloaded();
-        } else {
-            lifecycle.start();
-        }
+        lifecycle.start();
         return lifecycle;
     }
 
@@ -267,18 +254,10 @@
         return Optional.of(mSettings.retryAfter());
     }
 
-    /**
-     * Returns the retry-after delay for a request for which the engines have no room: at least the
-     * time in which they process the prompts that wait there now.
-     */
+    /** Returns the retry-after delay for a request that waited for decode capacity in vain. */
     Optional<Duration> overloadRetryAfter(AcceptedRequest request, String identifier) {
-        Duration backlog = Duration.ofNanos((long) mRouter.promptBacklogNanos(request.profile()));
-        Duration minimum = mSettings.retryAfter();
         return requestQueue(request.service())
-                .retryAfter(
-                        request.access().priority(),
-                        backlog.compareTo(minimum) > 0 ? backlog : minimum,
-                        identifier);
+                .retryAfter(request.access().priority(), mSettings.retryAfter(), identifier);
     }
 
     RetryBudget retryBudget(String service) {
--- a/request/src/main/java/org/sesamedeck/request/RequestLog.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLog.java
@@ -32,8 +32,7 @@
     void admitted(AcceptedRequest accepted, long remainingNanos) {
         LogEntry entry = add(Decision.ADMITTED);
         accepted.access().account().ifPresent(account -> entry.with("account", account.name()));
-        entry.with("start", accepted.start())
-                .with("route", accepted.route().name())
+        entry.with("route", accepted.route().name())
                 .with("kind", accepted.route().kind())
                 .with("service", accepted.service())
                 .with("configurationVersion", accepted.configurationVersion())
