Prompts that are processed apart do not count against an engine's memory

Cause: since the bound on memory counted the prompts that wait at prefill engines.

A prompt that waits has no memory yet, prefill engines process one after the other, and another engine takes the memory over at once. EngineMemoryTest. waitingPromptsTakeNoMemory failed before.

mvn verify -pl platform -am without the slow tests of coordination and admission passed.

--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -144,9 +144,14 @@
     }
 
     private boolean hasRoom(EndpointState state) {
-        long tokens = mProfile.promptTokens() + mProfile.expectedOutputTokens();
-        return !mProfile.isModelRequest()
-                || mMemory.hasRoom(state.description().service(), state.heldTokens(), tokens);
+        if (!mProfile.isModelRequest()) {
+            return true;
+        }
+        long held = mPhase == RequestPhase.PREFILL ? 0 : state.heldTokens();
+        return mMemory.hasRoom(
+                state.description().service(),
+                held,
+                mProfile.promptTokens() + mProfile.expectedOutputTokens());
     }
 
     private boolean acceptsPhase(EndpointDescription description) {
--- a/routing/src/main/java/org/sesamedeck/routing/EngineMemory.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EngineMemory.java
@@ -9,8 +9,11 @@
  * <p>An engine ends when the requests that it holds exceed its memory. Every process therefore adds
  * up the tokens of all requests that it and the others have at an engine, running or queued there,
  * and counts each prompt in full, since it does not know which parts the engine keeps only once.
- * The others are known with a delay of some exchange rounds; a part of the memory is left free for
- * what they send meanwhile.
+ * Prompts that are processed apart do not count: they wait without memory, are processed one after
+ * the other, and their memory is taken over by another engine at once. When they counted, long
+ * queues of prompts were sent to decode engines, which then turned responses away. The others are
+ * known with a delay of some exchange rounds; a part of the memory is left free for what they send
+ * meanwhile.
  */
 final class EngineMemory {
     /** Part of the memory that the known requests may take. */
--- a/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
@@ -72,9 +72,11 @@
         return mPromptNanos;
     }
 
-    /** Returns the tokens that the request holds at the endpoint. */
+    /** Returns the tokens that the request holds at the endpoint; see {@link EngineMemory}. */
     long tokens() {
-        return mProfile.promptTokens() + mProfile.expectedOutputTokens();
+        return mPhase == RequestPhase.PREFILL
+                ? 0
+                : mProfile.promptTokens() + mProfile.expectedOutputTokens();
     }
 
     long assignedAtNanos() {
--- a/routing/src/test/java/org/sesamedeck/routing/EngineMemoryTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/EngineMemoryTest.java
@@ -71,6 +71,17 @@
         held.values().forEach(tokens -> assertThat(tokens, is(lessThanOrEqualTo(MEMORY))));
     }
 
+    /** Guards against prompts that decode engines process because many wait at prefill engines. */
+    @Test
+    void waitingPromptsTakeNoMemory() {
+        DefaultRouter router = router(1, Map.of(SERVICE, MEMORY));
+        for (int i = 0; i < 200; i++) {
+            assertThat(
+                    router.choosePhase(request(PROMPT), RequestPhase.PREFILL, Set.of()).isPresent(),
+                    is(true));
+        }
+    }
+
     /** Guards against memory that stays counted after its request has ended. */
     @Test
     void endedRequestsFreeTheirMemory() {
