--- a/coordination/src/test/java/org/sesamedeck/platform/FakeObjectStore.java
+++ b/coordination/src/test/java/org/sesamedeck/platform/FakeObjectStore.java
@@ -63,6 +63,12 @@
         return mBytesWritten.sum();
     }
 
+    /** Lets writes that change nothing leave the version as it was, as the users' store does. */
+    public FakeObjectStore ignoringUnchangedWrites() {
+        mData.ignoreUnchangedWrites();
+        return this;
+    }
+
     /** Makes all calls fail with STORE_UNAVAILABLE, or stops doing so. */
     public void setUnavailable(boolean isUnavailable) {
         mIsUnavailable = isUnavailable;
--- a/coordination/src/test/java/org/sesamedeck/platform/FakeStoreData.java
+++ b/coordination/src/test/java/org/sesamedeck/platform/FakeStoreData.java
@@ -16,6 +16,11 @@
     private final Map<ObjectKey, StoredObject> mPrevious = new HashMap<>();
     private final List<FakeWatch> mWatches = new ArrayList<>();
     private long mVersion;
+    private boolean mIgnoresUnchangedWrites;
+
+    synchronized void ignoreUnchangedWrites() {
+        mIgnoresUnchangedWrites = true;
+    }
 
     synchronized Optional<StoredObject> get(ObjectKey key) {
         return Optional.ofNullable(mObjects.get(key));
@@ -37,6 +42,10 @@
         if (value.length() > MAX_VALUE_LENGTH) {
             throw SesamedeckException.of(ResultCode.VALUE_TOO_LARGE, key + " is too large");
         }
+        StoredObject current = mObjects.get(key);
+        if (mIgnoresUnchangedWrites && current != null && current.value().equals(value)) {
+            return current.version();
+        }
         StoredObject stored = new StoredObject(key, ++mVersion, value);
         StoredObject previous = mObjects.put(key, stored);
         if (previous != null) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -83,6 +83,7 @@
         mControlLoop = newEventLoop();
         mPlatform = adapters.create(mControlLoop);
         String name = settings.get(GatewaySettings.NAME);
+        long incarnation = new SecureRandom().nextLong();
         mRouter = DefaultRouter.create(clock, routerSettings(settings), name, name.hashCode());
         mRoleAdvisor = new RoleAdvisor(clock, mLog, this::roleDesired);
         mRoleCoordinator =
@@ -91,7 +92,8 @@
                         mPlatform.objects(),
                         new GuardedCommandClient(mPlatform.engineCommandClient(), mRouter::accepts),
                         mLog,
-                        name);
+                        name,
+                        incarnation);
         mQuarantine =
                 PartQuarantine.create(
                         clock, name, new QuarantineLog(clock, mLog, this::quarantineChanged));
@@ -103,9 +105,12 @@
                         mQuarantine,
                         name,
                         settings.get(GatewaySettings.PEERS),
-                        new SecureRandom().nextLong(),
+                        incarnation,
                         this::processCountChanged);
-        mDuties = mPlatform.duties().isEmpty() ? Optional.empty() : Optional.of(duties(name));
+        mDuties =
+                mPlatform.duties().isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(duties(name, incarnation));
         mRequestHandler =
                 RequestHandler.create(
                         clock,
@@ -129,7 +134,7 @@
                         clock, EventLoopTimers.of(mControlLoop), mLog, this::endpointsChanged);
     }
 
-    private DutyService duties(String name) {
+    private DutyService duties(String name, long incarnation) {
         DutyService.Environment environment =
                 new DutyService.Environment(
                         mClock,
@@ -139,7 +144,7 @@
                         mLog,
                         mPlatform.duties(),
                         name,
-                        new SecureRandom().nextLong());
+                        incarnation);
         return DutyService.create(environment, mSettings, mPlatform::dutyClient);
     }
 
--- a/gateway/src/main/java/org/sesamedeck/gateway/RoleCoordinator.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/RoleCoordinator.java
@@ -62,7 +62,9 @@
     private final EngineCommandClient mCommandClient;
     private final DecisionLog mLog;
     private final String mHolder;
+    private final long mIncarnation;
     private final Map<String, ServiceState> mServices = new HashMap<>();
+    private long mWrites;
 
     /** Last known state of one service's record. */
     private static final class ServiceState {
@@ -77,26 +79,30 @@
             ObjectStore store,
             EngineCommandClient commandClient,
             DecisionLog log,
-            String holder) {
+            String holder,
+            long incarnation) {
         mClock = clock;
         mStore = store;
         mCommandClient = commandClient;
         mLog = log;
         mHolder = holder;
+        mIncarnation = incarnation;
     }
 
     /**
      * Returns a coordinator.
      *
      * @param holder name of this process
+     * @param incarnation random number that identifies this run of the process
      */
     public static RoleCoordinator create(
             Clock clock,
             ObjectStore store,
             EngineCommandClient commandClient,
             DecisionLog log,
-            String holder) {
-        return new RoleCoordinator(clock, store, commandClient, log, holder);
+            String holder,
+            long incarnation) {
+        return new RoleCoordinator(clock, store, commandClient, log, holder, incarnation);
     }
 
     /** Requests one more engine of a role; may be called at any rate. */
@@ -149,7 +155,11 @@
             return CompletableFuture.completedFuture(Optional.empty());
         }
         long startNanos = mClock.nanoTime();
-        String value = mHolder + " " + engine.name() + " " + role;
+        // The store assigns no new version to a write that changes nothing, and a right without a
+        // new
+        // version is that of an earlier command. So no two writes have the same text.
+        String number = Long.toHexString(mIncarnation) + "-" + ++mWrites;
+        String value = mHolder + " " + engine.name() + " " + role + " " + number;
         CompletableFuture<Long> written =
                 found == 0 ? mStore.create(key, value) : mStore.update(key, found, value);
         return written.handle(
--- a/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.sesamedeck.core.HostAddress;
+import org.sesamedeck.core.ResultCode;
+import org.sesamedeck.core.SesamedeckException;
 import org.sesamedeck.platform.FakeObjectStore;
 import org.sesamedeck.platform.ManualScheduler;
 import org.sesamedeck.platform.StoreFault;
@@ -22,9 +24,11 @@
 
 class RoleCoordinatorTest {
     private final ManualScheduler mScheduler = ManualScheduler.create();
-    private final FakeObjectStore mStore = FakeObjectStore.create(mScheduler, mScheduler.clock());
+    private final FakeObjectStore mStore =
+            FakeObjectStore.create(mScheduler, mScheduler.clock()).ignoringUnchangedWrites();
     private final List<Command> mCommands = new ArrayList<>();
     private boolean mIsChanging;
+    private boolean mIsSilent;
     private Optional<CompletableFuture<EngineCommandClient.EngineStatus>> mStatus =
             Optional.empty();
 
@@ -49,13 +53,22 @@
                         long fencingNumber,
                         long acceptedCommands) {
                     mCommands.add(new Command(engine.name(), holder, fencingNumber));
-                    return CompletableFuture.completedFuture(CommandResult.ACCEPTED);
+                    return mIsSilent
+                            ? CompletableFuture.failedFuture(
+                                    SesamedeckException.of(
+                                            ResultCode.STORE_OUTCOME_UNKNOWN, "no response"))
+                            : CompletableFuture.completedFuture(CommandResult.ACCEPTED);
                 }
             };
 
     private RoleCoordinator coordinator(String holder, FakeObjectStore store) {
         return RoleCoordinator.create(
-                mScheduler.clock(), store, mCommandClient, new RecordingLog(), holder);
+                mScheduler.clock(),
+                store,
+                mCommandClient,
+                new RecordingLog(),
+                holder,
+                holder.hashCode());
     }
 
     private static List<EndpointDescription> engines() {
@@ -164,4 +177,26 @@
         mScheduler.runDue();
         assertThat(mCommands, empty());
     }
+
+    /**
+     * Guards against two holders that command in turn after a command without a response: the
+     * process that repeats it needs a new version, which also keeps the others away.
+     */
+    @Test
+    void repeatedCommandHasNewVersionAndRestartsQuietPeriod() {
+        RoleCoordinator first = coordinator("host-a", mStore);
+        RoleCoordinator second = coordinator("host-b", mStore.anotherClient());
+        mIsSilent = true;
+        requestRole(first);
+        requestRole(second);
+        mScheduler.advance(Duration.ofMillis(9_100));
+        requestRole(first);
+        mScheduler.advance(Duration.ofMillis(200));
+        requestRole(second);
+        assertThat(mCommands, hasSize(2));
+        assertThat(mCommands.get(1).fencingNumber(), greaterThan(mCommands.get(0).fencingNumber()));
+        mScheduler.advance(Duration.ofSeconds(9));
+        requestRole(second);
+        assertThat(mCommands, hasSize(3));
+    }
 }
--- a/gateway/src/test/java/org/sesamedeck/gateway/duty/SimulatedFleet.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/duty/SimulatedFleet.java
@@ -25,7 +25,8 @@
     private static final Duration STORE_TIME = Duration.ofMillis(8);
 
     private final ManualScheduler mScheduler = ManualScheduler.create();
-    private final FakeObjectStore mStore = FakeObjectStore.create(mScheduler, mScheduler.clock());
+    private final FakeObjectStore mStore =
+            FakeObjectStore.create(mScheduler, mScheduler.clock()).ignoringUnchangedWrites();
     private final SimulatedDutyPlatform mPlatform;
     private final List<Member> mMembers = new ArrayList<>();
     private final TreeMap<Long, TreeMap<String, Long>> mTruth = new TreeMap<>();
--- a/gateway/src/test/java/org/sesamedeck/gateway/duty/StoreDutyHolderTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/duty/StoreDutyHolderTest.java
@@ -22,7 +22,8 @@
     private static final Duration LONG_ENOUGH = Duration.ofSeconds(10);
 
     private final ManualScheduler mScheduler = ManualScheduler.create();
-    private final FakeObjectStore mStore = FakeObjectStore.create(mScheduler, mScheduler.clock());
+    private final FakeObjectStore mStore =
+            FakeObjectStore.create(mScheduler, mScheduler.clock()).ignoringUnchangedWrites();
     private final List<Member> mMembers = new ArrayList<>();
 
     /** A host with its part in the decision. */
