--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -86,6 +86,7 @@
         mControlLoop = newEventLoop();
         mPlatform = adapters.create(mControlLoop);
         String name = settings.get(GatewaySettings.NAME);
+        long incarnation = new SecureRandom().nextLong();
         mRouter = DefaultRouter.create(clock, routerSettings(settings), name, name.hashCode());
         mRoleAdvisor = new RoleAdvisor(clock, mLog, this::roleDesired);
         mRoleCoordinator =
@@ -94,7 +95,8 @@
                         mPlatform.objects(),
                         new GuardedCommandClient(mPlatform.engineCommandClient(), mRouter::accepts),
                         mLog,
-                        name);
+                        name,
+                        incarnation);
         mQuarantine =
                 PartQuarantine.create(
                         clock, name, new QuarantineLog(clock, mLog, this::quarantineChanged));
@@ -106,9 +108,12 @@
                         mQuarantine,
                         name,
                         settings.get(GatewaySettings.PEERS),
-                        new SecureRandom().nextLong(),
+                        incarnation,
                         this::processCountChanged);
-        mDuties = mPlatform.duties().isEmpty() ? Optional.empty() : Optional.of(duties(name));
+        mDuties =
+                mPlatform.duties().isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(duties(name, incarnation));
         mServerScaler =
                 mDuties.filter(duties -> mPlatform.duties().contains(Duty.SERVERS))
                         .map(this::serverScaler);
@@ -150,7 +155,7 @@
                 mLog);
     }
 
-    private DutyService duties(String name) {
+    private DutyService duties(String name, long incarnation) {
         DutyService.Environment environment =
                 new DutyService.Environment(
                         mClock,
@@ -160,7 +165,7 @@
                         mLog,
                         mPlatform.duties(),
                         name,
-                        new SecureRandom().nextLong());
+                        incarnation);
         return DutyService.create(environment, mSettings, mPlatform::dutyClient);
     }
 
