--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
@@ -45,13 +45,13 @@
     private final HeaderCodec mHeaderCodec;
     private final RequestHandler mRequestHandler;
     private final EndpointClient mEndpointClient;
+    private final ConnectionMemory mMemory;
+    private final RequestReader mReader;
+    private final InputGate mGate = new InputGate(this);
     private final ArrayDeque<ReceivedRequest> mPipelined = new ArrayDeque<>();
     private ChannelHandlerContext mContext;
     private Optional<CallerExchange> mExchange = Optional.empty();
     private Optional<Future<?>> mTimer = Optional.empty();
-    private final ConnectionMemory mMemory;
-    private final RequestReader mReader;
-    private final InputGate mGate = new InputGate(this);
     private long mLastProgressNanos;
     private long mLastUnreadBytes;
     private long mOpenedAtNanos;
