--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -12,6 +12,7 @@
 import org.sesamedeck.core.Setting;
 import org.sesamedeck.core.Settings;
 import org.sesamedeck.gateway.duty.DutyService;
+import org.sesamedeck.gateway.scaling.ServerScaler;
 import org.sesamedeck.request.Decision;
 import org.sesamedeck.request.LogEntry;
 import org.sesamedeck.request.RequestHandler;
@@ -58,6 +59,7 @@
     private final EndpointDirectory mEndpointDirectory;
     private final RoleAdvisor mRoleAdvisor;
     private final RoleCoordinator mRoleCoordinator;
+    private final Optional<ServerScaler> mServerScaler;
     private final PeerExchange mPeerExchange;
     private final Optional<DutyService> mDuties;
     private List<EndpointDescription> mKnownEndpoints = List.of();
@@ -66,6 +68,7 @@
     private volatile boolean mIsStopping;
     private volatile long mConfigurationVersion;
     private boolean mWasReady;
+    private long mCallersLimited;
 
     /** Creates the platform adapter, which needs the event loop of the store client. */
     public interface AdapterFactory {
@@ -111,6 +114,9 @@
                 mPlatform.duties().isEmpty()
                         ? Optional.empty()
                         : Optional.of(duties(name, incarnation));
+        mServerScaler =
+                mDuties.filter(duties -> mPlatform.duties().contains(Duty.SERVERS))
+                        .map(this::serverScaler);
         mRequestHandler =
                 RequestHandler.create(
                         clock,
@@ -125,7 +131,12 @@
         mEndpointClient = EndpointClient.create(mTrafficLoop, clock, headerCodec);
         mCallerServer =
                 CallerServer.create(
-                        mTrafficLoop, clock, headerCodec, mRequestHandler, mEndpointClient);
+                        mTrafficLoop,
+                        clock,
+                        headerCodec,
+                        mRequestHandler,
+                        mEndpointClient,
+                        callerLimits(settings));
         mStatusServer =
                 StatusServer.create(
                         mControlLoop, mPlatform.readinessPath(), this::isReady, this::metrics);
@@ -134,6 +145,16 @@
                         clock, EventLoopTimers.of(mControlLoop), mLog, this::endpointsChanged);
     }
 
+    private ServerScaler serverScaler(DutyService duties) {
+        return ServerScaler.create(
+                mClock,
+                mRouter,
+                duties.holder(),
+                duties.client(),
+                mRoleCoordinator::requestRole,
+                mLog);
+    }
+
     private DutyService duties(String name, long incarnation) {
         DutyService.Environment environment =
                 new DutyService.Environment(
@@ -173,7 +194,21 @@
                 settings.get(GatewaySettings.SPLIT_PHASES),
                 settings.get(GatewaySettings.TRANSFER_TIME),
                 settings.get(GatewaySettings.RETRY_AFTER),
-                settings.get(GatewaySettings.RESPONSE_MEMORY));
+                responseMemory(settings));
+    }
+
+    private static long responseMemory(Settings settings) {
+        return CallerLimits.responseMemory(
+                settings.get(GatewaySettings.RESPONSE_MEMORY), Runtime.getRuntime().maxMemory());
+    }
+
+    private static CallerLimits callerLimits(Settings settings) {
+        int descriptors = (int) (long) settings.get(GatewaySettings.DESCRIPTORS);
+        return CallerLimits.of(
+                settings.get(GatewaySettings.CALLER_MEMORY),
+                Runtime.getRuntime().maxMemory(),
+                responseMemory(settings),
+                descriptors > 0 ? descriptors : DescriptorLimit.ofThisProcess());
     }
 
     /** Returns a daemon that has not started. */
@@ -221,9 +256,10 @@
                             WatchSchedule.alone(WatchPace.SLOW),
                             seed + 1);
                     mDuties.ifPresent(DutyService::start);
+                    mServerScaler.ifPresent(this::startScaling);
                 });
         mTrafficLoop.scheduleAtFixedRate(
-                mRoleAdvisor::check,
+                this::checkEachSecond,
                 CHECK_INTERVAL.toMillis(),
                 CHECK_INTERVAL.toMillis(),
                 TimeUnit.MILLISECONDS);
@@ -234,6 +270,15 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void startScaling(ServerScaler scaler) {
+        long sampleMillis = ServerScaler.SAMPLE_INTERVAL.toMillis();
+        long planMillis = ServerScaler.PLAN_INTERVAL.toMillis();
+        mControlLoop.scheduleAtFixedRate(
+                scaler::sample, sampleMillis, sampleMillis, TimeUnit.MILLISECONDS);
+        mControlLoop.scheduleAtFixedRate(
+                scaler::plan, planMillis, planMillis, TimeUnit.MILLISECONDS);
+    }
+
     private WatchSchedule shared(Feed<?> feed, Setting<Duration> bound) {
         WatchPace pace =
                 WatchPace.within(
@@ -241,6 +286,19 @@
         return mPeerExchange.watchSchedule(feed.kind(), pace);
     }
 
+    private void checkEachSecond() {
+        mRoleAdvisor.check();
+        long limited = mCallerServer.callersReclaimed() + mCallerServer.connectionsRefused();
+        if (limited > mCallersLimited) {
+            mLog.record(
+                    entry(Decision.CALLERS_LIMITED)
+                            .with("ended", limited - mCallersLimited)
+                            .with("memory", mCallerServer.memoryUsed())
+                            .with("connections", mCallerServer.connections()));
+            mCallersLimited = limited;
+        }
+    }
+
     private <T> void follow(
             Feed<T> feed, FeedFollower.Listener<T> listener, WatchSchedule schedule, long seed) {
         EventLoopTimers timers = EventLoopTimers.of(mControlLoop);
@@ -248,6 +306,7 @@
     }
 
     private void configurationReceived(ServingConfiguration configuration) {
+        mServerScaler.ifPresent(scaler -> scaler.configure(configuration));
         mTrafficLoop.execute(
                 () -> {
                     if (!mRequestHandler.configure(configuration)) {
@@ -264,6 +323,7 @@
     }
 
     private void endpointsChanged(List<EndpointDescription> endpoints) {
+        mServerScaler.ifPresent(scaler -> scaler.updateEndpoints(endpoints));
         mTrafficLoop.execute(
                 () -> {
                     mRouter.updateEndpoints(endpoints);
@@ -287,7 +347,13 @@
                                 endpoint ->
                                         mRouter.accepts(endpoint) ? endpoint : endpoint.asLeaving())
                         .toList();
-        mControlLoop.execute(() -> mRoleCoordinator.requestRole(service, role, engines));
+        mControlLoop.execute(
+                () -> {
+                    // The plan for ordered servers decides their roles, too.
+                    if (!mServerScaler.map(scaler -> scaler.manages(service)).orElse(false)) {
+                        mRoleCoordinator.requestRole(service, role, engines);
+                    }
+                });
     }
 
     /** The retry slack is shared by all processes; each uses an equal share of most of it. */
@@ -295,6 +361,7 @@
         double share =
                 mSettings.get(GatewaySettings.RETRY_SLACK) * RETRY_SLACK_FRACTION / processCount;
         double retryBurst = Math.max(mSettings.get(GatewaySettings.RETRY_BURST), share);
+        mServerScaler.ifPresent(scaler -> scaler.updateProcesses(processCount));
         mTrafficLoop.execute(() -> mRequestHandler.limitRetryBurst(retryBurst));
     }
 
@@ -316,10 +383,15 @@
         text.value("sesamedeck_configuration_version", mConfigurationVersion);
         text.value("sesamedeck_requests_active", mRequestHandler.activeRequests());
         text.value("sesamedeck_caller_connections", mCallerServer.connections());
+        text.value("sesamedeck_caller_memory_bytes", mCallerServer.memoryUsed());
+        text.value(
+                "sesamedeck_caller_connections_refused_total", mCallerServer.connectionsRefused());
+        text.value("sesamedeck_callers_reclaimed_total", mCallerServer.callersReclaimed());
         text.value("sesamedeck_endpoint_connections_total", mEndpointClient.connectionsOpened());
         text.value("sesamedeck_endpoints_stated_leaving", mRouter.statedLeavingEndpoints());
         text.value("sesamedeck_endpoints_held_off", mRouter.heldEndpoints());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
+        mServerScaler.ifPresent(scaler -> scaler.write(text));
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
         mDuties.ifPresent(duties -> duties.write(text));
         return text.toString();
--- a/request/src/main/java/org/sesamedeck/request/AcceptedRequest.java
+++ b/request/src/main/java/org/sesamedeck/request/AcceptedRequest.java
@@ -1,6 +1,7 @@
 package org.sesamedeck.request;
 
 import org.sesamedeck.routing.RequestProfile;
+import org.sesamedeck.routing.StartPolicy;
 
 /**
  * What a configuration determines for a request that it allows.
@@ -10,6 +11,7 @@
  * @param usage is told when the request begins to run
  * @param service service that serves the request
  * @param profile properties that the router uses
+ * @param start whether and how the request is sent
  * @param configurationVersion version of the configuration
  */
 record AcceptedRequest(
@@ -18,4 +20,5 @@
         RequestUsage usage,
         String service,
         RequestProfile profile,
+        StartPolicy.Verdict start,
         long configurationVersion) {}
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -13,6 +13,7 @@
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.RetryBudget;
 import org.sesamedeck.routing.Router;
+import org.sesamedeck.routing.StartPolicy;
 import org.sesamedeck.routing.quarantine.PartQuarantine;
 
 /**
@@ -39,6 +40,7 @@
     private final Map<String, RetryBudget> mRetryBudgets = new HashMap<>();
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
     private final ResponseLengths mResponseLengths = new ResponseLengths();
+    private final RequestStarts mStarts;
     private final Map<String, RequestQueue> mRequestQueues = new HashMap<>();
     private final ResponseMemory mResponseMemory;
     private double mRetryBurst;
@@ -65,6 +67,7 @@
         mQuarantine = quarantine;
         mUsageObserver = usageObserver;
         mPhaseSplit = PhaseSplitPolicy.of(router, settings);
+        mStarts = RequestStarts.of(clock, router);
     }
 
     /** Returns a handler that refuses all requests until it has a configuration. */
@@ -94,6 +97,11 @@
         }
         mConfiguration = Optional.of(configuration);
         List.copyOf(mActiveRequests).forEach(RequestLifecycle::configurationChanged);
+        Map<String, Long> memory = new HashMap<>();
+        for (ServiceDescription service : configuration.services()) {
+            service.engineMemory().ifPresent(tokens -> memory.put(service.name(), tokens));
+        }
+        mRouter.updateEngineMemory(memory);
         return true;
     }
 
@@ -201,11 +209,16 @@
                         new RequestUsage(mUsageObserver, access),
                         service,
                         profile,
+                        mStarts.decide(request, route.get(), access, service, profile),
                         configuration.version());
         RequestLifecycle lifecycle =
                 RequestLifecycle.of(this, request, Optional.of(accepted), port);
         mActiveRequests.add(lifecycle);
-        lifecycle.start();
+        if (accepted.start() == StartPolicy.Verdict.REFUSE) {
+            lifecycle.refuseOverloaded();
+        } else {
+            lifecycle.start();
+        }
         return lifecycle;
     }
 
@@ -262,19 +275,31 @@
 
     /**
      * Returns the retry-after delay for a request that no endpoint takes: it does not end before
-     * the first endpoint is usable, if that is known.
+     * the first endpoint is usable, if that is known. A request that is too large for any endpoint
+     * has none.
      */
     Optional<Duration> retryAfter(AcceptedRequest accepted, CallerRequest request) {
+        if (mRouter.isOversized(accepted.profile())) {
+            return Optional.empty();
+        }
         return mRouter.timeUntilUsable(accepted.profile())
                 .filter(wait -> wait.compareTo(mSettings.retryAfter()) > 0)
                 .map(wait -> RetryAfterDelay.notBefore(wait, request.identifier()))
                 .or(this::defaultRetryAfter);
     }
 
-    /** Returns the retry-after delay for a request that waited for decode capacity in vain. */
+    /**
+     * Returns the retry-after delay for a request for which the engines have no room: at least the
+     * time in which they process the prompts that wait there now.
+     */
     Optional<Duration> overloadRetryAfter(AcceptedRequest request, String identifier) {
+        Duration backlog = Duration.ofNanos((long) mRouter.promptBacklogNanos(request.profile()));
+        Duration minimum = mSettings.retryAfter();
         return requestQueue(request.service())
-                .retryAfter(request.access().priority(), mSettings.retryAfter(), identifier);
+                .retryAfter(
+                        request.access().priority(),
+                        backlog.compareTo(minimum) > 0 ? backlog : minimum,
+                        identifier);
     }
 
     RetryBudget retryBudget(String service) {
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -9,6 +9,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToIntFunction;
 import org.sesamedeck.core.Clock;
 
 /**
@@ -43,7 +45,8 @@
     private final PrefixIndex mPrefixes = PrefixIndex.create(PREFIX_CAPACITY);
     private final PrefixUpdateBuffer mPrefixUpdates = new PrefixUpdateBuffer();
     private final EndpointExclusions mExclusions;
-    private final WorkTimeModels mModels;
+    private final EngineMemory mMemory = new EngineMemory();
+    private final Map<String, ServiceTimeModel> mServiceTimes = new ConcurrentHashMap<>();
     private final SpeedEstimate.Factory mSpeeds;
     private volatile int mProcesses = 1;
     private volatile EndpointTable mTable = EndpointTable.empty();
@@ -56,7 +59,6 @@
             String name,
             long seed) {
         mClock = clock;
-        mModels = new WorkTimeModels(settings);
         mSpeeds = speeds;
         mEstimator = estimator;
         mSettings = settings;
@@ -149,7 +151,7 @@
         if (best == null) {
             return OptionalLong.empty();
         }
-        double prompt = best.promptNanos(choice.bestUncachedTokens());
+        double prompt = choice.bestUncachedTokens() * best.prefillNanosPerToken();
         return OptionalLong.of((long) (best.expectedWaitNanos(mProcesses) + prompt));
     }
 
@@ -157,7 +159,8 @@
             EndpointTable table, RequestProfile profile, RequestPhase phase, Set<String> excluded) {
         Candidates candidates = table.candidates(profile.target());
         EndpointChoice choice =
-                new EndpointChoice(mSettings, mPrefixes, mProcesses, profile, phase, excluded);
+                new EndpointChoice(
+                        mSettings, mPrefixes, mMemory, mProcesses, profile, phase, excluded);
         if (phase != RequestPhase.DECODE) {
             choice.considerFetching(table);
             choice.considerPrefixHolders(table);
@@ -192,22 +195,16 @@
         if (mSettings.traits().tokenIntervalLimitNanos() <= 0 || !profile.isModelRequest()) {
             return DecodeCapacity.unlimited();
         }
-        if (mExclusions.areAllHeld(mTable.candidates(profile.target()))) {
+        if (isOversized(profile) || mExclusions.areAllHeld(mTable.candidates(profile.target()))) {
             // The requests are refused at once instead of being queued.
             return DecodeCapacity.unlimited();
         }
-        double capacity = 0;
-        double inProgress = 0;
-        for (EndpointState state : mTable.candidates(profile.target()).all()) {
-            if (!state.isUsable()) {
-                continue;
-            }
-            // Every prompt in progress becomes a response soon.
-            inProgress += state.runningNow();
-            capacity +=
-                    state.description().role() == EndpointRole.PREFILL ? 0 : state.decodeCapacity();
-        }
-        return new DecodeCapacity(inProgress, capacity);
+        return EngineCapacity.decode(mTable.candidates(profile.target()));
+    }
+
+    @Override
+    public double promptBacklogNanos(RequestProfile profile) {
+        return EngineCapacity.promptBacklogNanos(mTable.candidates(profile.target()), mProcesses);
     }
 
     @Override
@@ -228,7 +225,13 @@
                 mPrefixes.removeEndpoint(endpoint.name());
             }
             EndpointState state =
-                    new EndpointState(mClock, mSettings, endpoint, mModels, mSpeeds.create());
+                    new EndpointState(
+                            mClock,
+                            mSettings,
+                            endpoint,
+                            mServiceTimes.computeIfAbsent(
+                                    endpoint.service(), name -> new ServiceTimeModel()),
+                            mSpeeds.create());
             if (hasStatedLeaving) {
                 state.statedLeaving();
             }
@@ -265,6 +268,17 @@
         return Optional.ofNullable(mTable.state(endpoint.name()));
     }
 
+    @Override
+    public void updateEngineMemory(Map<String, Long> tokensByService) {
+        mMemory.update(tokensByService);
+    }
+
+    @Override
+    public boolean isOversized(RequestProfile profile) {
+        return profile.isModelRequest()
+                && mMemory.isOversized(mTable.poolOf(profile.target()), profile.promptTokens());
+    }
+
     @Override
     public boolean accepts(EndpointDescription endpoint) {
         return mExclusions.accepts(endpoint, state(endpoint));
@@ -284,7 +298,7 @@
 
     /** Returns the number of endpoints that have asked for no requests and are held off now. */
     public long heldEndpoints() {
-        return mTable.states().values().stream().filter(EndpointState::isHeld).count();
+        return mTable.states().values().stream().filter(state -> state.hold().isActive()).count();
     }
 
     @Override
@@ -318,6 +332,27 @@
                                         loads.getOrDefault(name, new EndpointLoad(name, 0, 0))));
     }
 
+    @Override
+    public Optional<PhaseLoad> phaseLoad(
+            String service, int processes, ToIntFunction<EndpointRole> engines) {
+        PhaseLoadSum sum = new PhaseLoadSum();
+        for (EndpointState state : mTable.pool(service).all()) {
+            Optional<EndpointLoad> others = state.peerLoad();
+            if (processes > 1 && others.isEmpty()) {
+                return Optional.empty();
+            }
+            EndpointLoad own = state.ownLoad();
+            sum.add(state.description().role(), others.map(own::plus).orElse(own), capacity(state));
+        }
+        return sum.extendedTo(engines);
+    }
+
+    private double capacity(EndpointState state) {
+        return mSettings.traits().tokenIntervalLimitNanos() <= 0
+                ? Double.POSITIVE_INFINITY
+                : state.decodeCapacity();
+    }
+
     @Override
     public void markLeaving(String endpoint) {
         EndpointState state = mTable.state(endpoint);
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointExclusions.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointExclusions.java
@@ -57,7 +57,7 @@
     private Optional<EndpointExclusion> hold(EndpointState state, long nanos) {
         double maxSpread = Math.min(HOLD_SPREAD * nanos, MAX_HOLD_SPREAD_NANOS);
         long heldNanos = nanos + (long) (maxSpread * mRandom.nextDouble());
-        boolean isExtended = nanos > 0 && state.holdUntil(mClock.nanoTime() + heldNanos);
+        boolean isExtended = nanos > 0 && state.hold().extendTo(mClock.nanoTime() + heldNanos);
         return isExtended
                 ? Optional.of(
                         new EndpointExclusion(
@@ -75,7 +75,7 @@
     boolean accepts(EndpointDescription endpoint, Optional<EndpointState> state) {
         boolean isHeld =
                 state.filter(known -> known.description().isSameProcess(endpoint))
-                        .map(EndpointState::isHeld)
+                        .map(known -> known.hold().isActive())
                         .orElse(false);
         return !isHeld && !hasStatedLeaving(endpoint);
     }
@@ -85,7 +85,7 @@
         boolean isAnyHeld = false;
         for (EndpointState state : candidates.all()) {
             if (mayRespond(state)) {
-                if (!state.isHeld()) {
+                if (!state.hold().isActive()) {
                     return false;
                 }
                 isAnyHeld = true;
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 
 /** Chooses endpoints for requests. Thread-safe; does no I/O. */
 public interface Router {
@@ -56,6 +57,14 @@
         return DecodeCapacity.unlimited();
     }
 
+    /**
+     * Returns the mean time that prompts wait at the engines that would process the request's
+     * prompt, in nanoseconds; background requests are not counted.
+     */
+    default double promptBacklogNanos(RequestProfile profile) {
+        return 0;
+    }
+
     /** Replaces the endpoint table. */
     void updateEndpoints(List<EndpointDescription> endpoints);
 
@@ -96,6 +105,17 @@
         return Optional.empty();
     }
 
+    /**
+     * Updates the memory of the engines of each service, in tokens; a service that is left out has
+     * no known limit.
+     */
+    default void updateEngineMemory(Map<String, Long> tokensByService) {}
+
+    /** Returns whether no engine has memory for the prompt, even if it holds nothing else. */
+    default boolean isOversized(RequestProfile profile) {
+        return false;
+    }
+
     /** Returns the load from this process at each endpoint that has any. */
     default List<EndpointLoad> ownLoad() {
         return List.of();
@@ -115,6 +135,19 @@
      */
     default void updatePeerLoad(Map<String, EndpointLoad> loads) {}
 
+    /**
+     * Returns the current load of a service's engines, summed over all processes and extended to
+     * the engines outside of this router's subset; empty while the load of the other processes is
+     * unknown.
+     *
+     * @param processes number of processes that send work, including this one
+     * @param engines number of engines of the service by role
+     */
+    default Optional<PhaseLoad> phaseLoad(
+            String service, int processes, ToIntFunction<EndpointRole> engines) {
+        return Optional.empty();
+    }
+
     /** Marks an endpoint as leaving, before the endpoint table shows it. */
     void markLeaving(String endpoint);
 
