--- a/gateway/src/main/java/org/sesamedeck/gateway/RoleCoordinator.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/RoleCoordinator.java
@@ -172,9 +172,8 @@
             return CompletableFuture.completedFuture(Optional.empty());
         }
         long startNanos = mClock.nanoTime();
-        // The store assigns no new version to a write that changes nothing, and a right without a
-        // new
-        // version is that of an earlier command. So no two writes have the same text.
+        // A write that changes nothing gets no new version, and a right without one is that of an
+        // earlier command. So no two writes have the same text.
         String number = Long.toHexString(mIncarnation) + "-" + ++mWrites;
         String value = mHolder + " " + engine.name() + " " + role + " " + number;
         CompletableFuture<Long> written =
--- a/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
@@ -205,6 +205,7 @@
             mScheduler.advance(Duration.ofSeconds(1));
         }
         assertThat(mCommands, hasSize(2));
+<<<<<<< HEAD
     }
 
     /**
@@ -227,5 +228,7 @@
         mScheduler.advance(Duration.ofSeconds(9));
         requestRole(second);
         assertThat(mCommands, hasSize(3));
+=======
+>>>>>>> duties
     }
 }
