--- a/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/RoleCoordinatorTest.java
@@ -205,7 +205,6 @@
             mScheduler.advance(Duration.ofSeconds(1));
         }
         assertThat(mCommands, hasSize(2));
-<<<<<<< HEAD
     }
 
     /**
@@ -228,7 +227,5 @@
         mScheduler.advance(Duration.ofSeconds(9));
         requestRole(second);
         assertThat(mCommands, hasSize(3));
-=======
->>>>>>> duties
     }
 }
