Requests of small accounts pass the queue of a large one

Within a priority, requests waited by arrival, so an account that sends many times the load of the others filled the queue before them. Accounts that have lately used far more than an equal share now come after the others of their priority. RequestQueueTest.requestOfSmallAccountPassesQueueOfLargeOne replays that load.

--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.ResultCode;
+import org.sesamedeck.routing.AccountShares;
+import org.sesamedeck.routing.RequestPhase;
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.RetryBudget;
 import org.sesamedeck.routing.Router;
@@ -43,6 +45,7 @@
     private final ResponseMemory mResponseMemory;
     private double mRetryBurst;
     private final Set<RequestLifecycle> mActiveRequests = new LinkedHashSet<>();
+    private final AccountShares mAccountShares;
     private boolean mIsStopping;
 
     private RequestHandler(
@@ -64,6 +67,7 @@
         mPhaseObserver = phaseObserver;
         mQuarantine = quarantine;
         mUsageObserver = usageObserver;
+        mAccountShares = AccountShares.create(clock);
         mPhaseSplit = PhaseSplitPolicy.of(router, settings);
     }
 
@@ -283,7 +287,26 @@
     /** Returns the retry-after delay for a request that waited for decode capacity in vain. */
     Optional<Duration> overloadRetryAfter(AcceptedRequest request, String identifier) {
         return requestQueue(request.service())
-                .retryAfter(request.access().priority(), mSettings.retryAfter(), identifier);
+                .retryAfter(queueRank(request), mSettings.retryAfter(), identifier);
+    }
+
+    /** Returns the rank of a request where requests wait. */
+    QueueRank queueRank(AcceptedRequest request) {
+        boolean isOverShare =
+                request.access()
+                        .account()
+                        .map(account -> mAccountShares.isOverShare(account.name()))
+                        .orElse(false);
+        return new QueueRank(request.access().priority(), isOverShare);
+    }
+
+    /** Records the work of a call that is sent now as used by the account of its request. */
+    void workSent(AcceptedRequest request, RequestPhase phase) {
+        boolean isPromptProcessed = phase == RequestPhase.DECODE;
+        double work = isPromptProcessed ? 0 : 1 + request.profile().promptTokens();
+        request.access()
+                .account()
+                .ifPresent(account -> mAccountShares.record(account.name(), work));
     }
 
     RetryBudget retryBudget(String service) {
--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -80,12 +80,13 @@
             return;
         }
         RequestQueue queue = mHandler.requestQueue(accepted().service());
-        int ahead = queue.ahead(accepted().access().priority());
+        QueueRank rank = mHandler.queueRank(accepted());
+        int ahead = queue.ahead(rank);
         if (ahead == 0 && dispatchIfCapacity()) {
             return;
         }
         mLog.queued(ahead, mHandler.router().decodeCapacity(accepted().profile()));
-        if (!queue.enqueue(this, accepted().access().priority(), remainingTime)) {
+        if (!queue.enqueue(this, rank, remainingTime)) {
             refuseOverloaded();
         }
     }
@@ -167,6 +168,7 @@
                         mProcessedPrompt,
                         mStream.lastEvent());
         mHistory.sent(phase);
+        mHandler.workSent(accepted(), phase);
         mLog.sent(assignment.endpoint(), phase, remainingNanos);
         attempt.attach(mPort.send(assignment.endpoint(), options, attempt));
     }
--- a/request/src/main/java/org/sesamedeck/request/RequestQueue.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestQueue.java
@@ -13,15 +13,15 @@
  * <p>Engines accept more requests than they can decode in time: each further response lengthens the
  * token interval of all others, until long responses reach their deadline after having occupied
  * their slot to the end. Responses are therefore started only while the token interval allows it;
- * other requests wait here. The queue is ordered by priority, the most urgent first, and within a
- * priority by arrival, so that neither size nor route matters. Confined to one thread.
+ * other requests wait here. The queue is ordered by rank and within a rank by arrival, so that
+ * neither size nor route matters. Confined to one thread.
  */
 final class RequestQueue {
     /** Interval of capacity checks; a check is cheap and a response ends every few ms. */
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(25);
 
     private static final Comparator<Entry> ORDER =
-            Comparator.comparingInt((Entry entry) -> entry.priority)
+            Comparator.comparing((Entry entry) -> entry.rank)
                     .thenComparingLong(entry -> entry.sequence);
 
     private static final double LEARNING_RATE = 0.2;
@@ -42,7 +42,7 @@
 
     /** A queued request and the timer that refuses it when it has been queued too long. */
     private record Entry(
-            int priority, long sequence, RequestLifecycle lifecycle, Timers.Timer waitTimer) {}
+            QueueRank rank, long sequence, RequestLifecycle lifecycle, Timers.Timer waitTimer) {}
 
     RequestQueue(Clock clock, Timers timers) {
         mClock = clock;
@@ -55,20 +55,20 @@
      * @param remainingTime time until the request's deadline
      * @return false if the expected wait exceeds the request's maximum; it is not added then
      */
-    boolean enqueue(RequestLifecycle lifecycle, int priority, Duration remainingTime) {
+    boolean enqueue(RequestLifecycle lifecycle, QueueRank rank, Duration remainingTime) {
         Duration maxWait = Duration.ofNanos((long) (remainingTime.toNanos() * MAX_WAIT_FRACTION));
-        if (expectedWait(ahead(priority)).compareTo(maxWait) > 0) {
+        if (expectedWait(ahead(rank)).compareTo(maxWait) > 0) {
             return false;
         }
         Timers.Timer waitTimer = mTimers.schedule(maxWait, lifecycle::refuseOverloaded);
-        mEntries.add(new Entry(priority, ++mLastSequence, lifecycle, waitTimer));
+        mEntries.add(new Entry(rank, ++mLastSequence, lifecycle, waitTimer));
         scheduleCheck();
         return true;
     }
 
-    /** Returns the number of queued requests that are ahead of a new one of this priority. */
-    int ahead(int priority) {
-        return mEntries.headSet(new Entry(priority, Long.MAX_VALUE, null, null), true).size();
+    /** Returns the number of queued requests that are ahead of a new one of this rank. */
+    int ahead(QueueRank rank) {
+        return mEntries.headSet(new Entry(rank, Long.MAX_VALUE, null, null), true).size();
     }
 
     /** Estimates the wait behind this number of requests; zero while there is no measurement. */
@@ -77,8 +77,8 @@
     }
 
     /** Returns the retry-after delay for a request that is refused now. */
-    Optional<Duration> retryAfter(int priority, Duration minimum, String identifier) {
-        return Optional.of(RetryAfterDelay.of(minimum, expectedWait(ahead(priority)), identifier));
+    Optional<Duration> retryAfter(QueueRank rank, Duration minimum, String identifier) {
+        return Optional.of(RetryAfterDelay.of(minimum, expectedWait(ahead(rank)), identifier));
     }
 
     private void recordStart() {
--- a/request/src/test/java/org/sesamedeck/request/RequestQueueTest.java
+++ b/request/src/test/java/org/sesamedeck/request/RequestQueueTest.java
@@ -6,8 +6,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.routing.EndpointLoad;
@@ -74,6 +77,37 @@
         assertThat(sent(burst(RequestKind.STREAM, 3)), is(0L));
     }
 
+    /** Guards against an account that starves the others with requests queued before theirs. */
+    @Test
+    void requestOfSmallAccountPassesQueueOfLargeOne() {
+        RequestFixture fixture = RequestFixture.withDecodeCapacityLimit();
+        Map<String, ClientAccount> accounts = new HashMap<>();
+        for (int i = 0; i < 6; i++) {
+            accounts.put("key " + i, new ClientAccount("account " + i, OptionalInt.empty()));
+        }
+        fixture.handler()
+                .configure(RequestFixture.configuration(1, ClientAccounts.of(accounts), false));
+        for (int i = 0; i < 6; i++) {
+            fixture.startWithKey(RequestKind.REPEATABLE, "key " + i, new RecordingPort());
+        }
+        List<RecordingPort> large = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            RecordingPort port = new RecordingPort();
+            fixture.startWithKey(RequestKind.STREAM, "key 0", port);
+            fixture.timers().advance(Duration.ofMillis(20));
+            large.add(port);
+        }
+        long started = sent(large);
+        RecordingPort small = new RecordingPort();
+        fixture.startWithKey(RequestKind.STREAM, "key 1", small);
+        fixture.timers().advance(Duration.ofMillis(60));
+        assertThat(small.calls().isEmpty(), is(true));
+        finish(large.get(0));
+        fixture.timers().advance(Duration.ofMillis(60));
+        assertThat(small.calls().isEmpty(), is(false));
+        assertThat(sent(large), is(started));
+    }
+
     private static void finish(RecordingPort port) {
         CallListener listener = port.lastCall().listener();
         listener.headReceived(RequestFixture.head(200));
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -202,11 +202,6 @@
         return EngineCapacity.decode(mTable.candidates(profile.target()));
     }
 
-    @Override
-    public double promptBacklogNanos(RequestProfile profile) {
-        return EngineCapacity.promptBacklogNanos(mTable.candidates(profile.target()), mProcesses);
-    }
-
     @Override
     public synchronized void updateEndpoints(List<EndpointDescription> endpoints) {
         Map<String, EndpointState> known = new HashMap<>(mTable.states());
--- a/routing/src/main/java/org/sesamedeck/routing/EngineCapacity.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EngineCapacity.java
@@ -1,6 +1,6 @@
 package org.sesamedeck.routing;
 
-/** What the usable engines of one target can take, and what waits there. */
+/** What the usable engines of one target can take. */
 final class EngineCapacity {
     private EngineCapacity() {}
 
@@ -19,30 +19,4 @@
         }
         return new DecodeCapacity(inProgress, capacity);
     }
-
-    /**
-     * Returns the mean expected wait of a prompt, in nanoseconds: at engines of the prefill role,
-     * or at those of both roles if there is none.
-     *
-     * @param processes number of processes that send work, including this one
-     */
-    static double promptBacklogNanos(Candidates candidates, int processes) {
-        double prefill = meanWaitNanos(candidates.ofRole(EndpointRole.PREFILL), processes);
-        return prefill >= 0
-                ? prefill
-                : Math.max(0, meanWaitNanos(candidates.ofRole(EndpointRole.MIXED), processes));
-    }
-
-    /** Returns the mean expected wait at the usable endpoints; negative if there is none. */
-    private static double meanWaitNanos(EndpointState[] endpoints, int processes) {
-        double sum = 0;
-        int usable = 0;
-        for (EndpointState state : endpoints) {
-            if (state.isUsable()) {
-                sum += state.expectedWaitNanos(processes);
-                usable++;
-            }
-        }
-        return usable == 0 ? -1 : sum / usable;
-    }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -57,14 +57,6 @@
         return DecodeCapacity.unlimited();
     }
 
-    /**
-     * Returns the mean time that prompts wait at the engines that would process the request's
-     * prompt, in nanoseconds; background requests are not counted.
-     */
-    default double promptBacklogNanos(RequestProfile profile) {
-        return 0;
-    }
-
     /** Replaces the endpoint table. */
     void updateEndpoints(List<EndpointDescription> endpoints);
 
