A watch call is not replaced before a slow store can have answered it

A process that lacked a change which others had read replaced its watch call every 0.2 s. Calls younger than 1 s are now left alone. FleetFreshnessTest.changeIsKnownWhenTheStoreIsSlow failed before.

--- a/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
@@ -38,6 +38,12 @@
      */
     private static final Duration ANSWER_TIME = Duration.ofMillis(400);
 
+    /**
+     * A younger watch call is not replaced: its answer may be on the way from a slow store, and
+     * calls that replace each other faster than the store answers would never be answered.
+     */
+    private static final Duration MIN_WATCH_AGE = Duration.ofSeconds(1);
+
     /** Interval of checks whether the watch call that waits is overdue. */
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
 
@@ -138,7 +144,8 @@
         if (mIsClosed) {
             return;
         }
-        if (mWatchedRevision.isPresent() && mSchedule.isOverdue(mWatchWait)) {
+        boolean isOld = mClock.nanoTime() - mCalledAtNanos >= MIN_WATCH_AGE.toNanos();
+        if (mWatchedRevision.isPresent() && isOld && mSchedule.isOverdue(mWatchWait)) {
             mLog.record(
                     entry(Decision.WATCH_REPLACED)
                             .with("revision", mWatchedRevision.getAsLong())
--- a/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
@@ -151,6 +151,17 @@
         assertAllKnow(mProcesses.subList(SHORT_WAITS, PROCESSES), "new");
     }
 
+    /** Guards against calls that replace each other before a slow store has answered them. */
+    @Test
+    void changeIsKnownWhenTheStoreIsSlow() {
+        startFleet(0);
+        mStore.silenceSomeConnections();
+        mStore.setResponseTime(Duration.ofMillis(600));
+        mStore.put("new", "value");
+        mScheduler.advance(SETTLING_TIME.plusSeconds(2));
+        assertAllKnow(mProcesses, "new");
+    }
+
     /** Guards against a process that relies on peers from which it has been cut off. */
     @Test
     void processThatHearsNothingFollowsTheStoreOnItsOwn() {
--- a/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
@@ -16,6 +16,8 @@
     /** A new connection, a call and its response, between regions. */
     static final Duration RESPONSE_TIME = Duration.ofMillis(60);
 
+    private Duration mResponseTime = RESPONSE_TIME;
+
     /** Time that a caller gives a response beyond the wait that it asked for. */
     private static final Duration WATCH_MARGIN = Duration.ofMillis(800);
 
@@ -49,7 +51,7 @@
 
         void answerIfChanged() {
             if (!mIsLost && mChanges.size() > mRevision) {
-                mScheduler.schedule(RESPONSE_TIME, this::answer);
+                mScheduler.schedule(mResponseTime, this::answer);
             }
         }
 
@@ -89,6 +91,11 @@
         silenceConnections();
     }
 
+    /** From now on each call is answered after this time. */
+    void setResponseTime(Duration time) {
+        mResponseTime = time;
+    }
+
     /** Begins or ends an outage in which each call is refused. */
     void setRefusing(boolean isRefusing) {
         mIsRefusing = isRefusing;
@@ -100,6 +107,13 @@
         mWatches.forEach(watch -> watch.mIsLost = true);
     }
 
+    /** Lets the connections of some watches that wait go silent for good. */
+    void silenceSomeConnections() {
+        for (int i = 0; i < mWatches.size(); i += 3) {
+            mWatches.get(i).mIsLost = true;
+        }
+    }
+
     /** Closes the connections of the watches that wait. */
     void cutOffWatches() {
         List.copyOf(mWatches).forEach(watch -> watch.fail(ResultCode.STORE_OUTCOME_UNKNOWN));
@@ -116,7 +130,7 @@
         CompletableFuture<Page<T>> answer = new CompletableFuture<>();
         boolean isLost = mIsSilent;
         mScheduler.schedule(
-                isLost ? LIST_TIMEOUT : RESPONSE_TIME,
+                isLost ? LIST_TIMEOUT : mResponseTime,
                 () -> {
                     if (isLost || mIsRefusing) {
                         answer.completeExceptionally(
@@ -145,11 +159,11 @@
         watch.mIsLost = mIsSilent;
         mWatches.add(watch);
         if (mIsRefusing) {
-            mScheduler.schedule(RESPONSE_TIME, () -> watch.fail(ResultCode.STORE_UNAVAILABLE));
+            mScheduler.schedule(mResponseTime, () -> watch.fail(ResultCode.STORE_UNAVAILABLE));
             return watch.mAnswer;
         }
         watch.answerIfChanged();
-        mScheduler.schedule(timeout.plus(RESPONSE_TIME), watch::answer);
+        mScheduler.schedule(timeout.plus(mResponseTime), watch::answer);
         mScheduler.schedule(
                 timeout.plus(WATCH_MARGIN), () -> watch.fail(ResultCode.STORE_OUTCOME_UNKNOWN));
         return watch.mAnswer;
