--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerMemory.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerMemory.java
@@ -149,6 +149,11 @@
         mUsedBytes += bytes;
     }
 
+    /** Ends the wait of a holder whose body has become complete without being admitted. */
+    void cancelWait(MemoryHolder holder) {
+        mWaiting.remove(holder);
+    }
+
     /** Releases the memory of an admitted body; has no effect if the holder has none. */
     void releaseLarge(MemoryHolder holder) {
         Long bytes = mAdmitted.remove(holder);
--- a/gateway/src/main/java/org/sesamedeck/gateway/ConnectionMemory.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/ConnectionMemory.java
@@ -48,6 +48,11 @@
         return !mIsReleased && mMemory.admit(mHolder, bytes);
     }
 
+    /** Ends the wait for {@link MemoryHolder#admitted}. */
+    void cancelWait() {
+        mMemory.cancelWait(mHolder);
+    }
+
     void releaseLarge() {
         mMemory.releaseLarge(mHolder);
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
@@ -136,7 +136,7 @@
     }
 
     private void list() {
-        list(Optional.empty(), new ArrayList<>());
+        list(Optional.empty(), new ArrayList<>(), OptionalLong.empty());
     }
 
     /** Replaces a watch call that may wait on a silent connection; its answer is ignored. */
@@ -157,7 +157,14 @@
         mTimers.schedule(CHECK_INTERVAL, this::checkWatch);
     }
 
-    private void list(Optional<String> after, List<Feed.Item<T>> collected) {
+    /**
+     * Reads a page of the list.
+     *
+     * @param firstRevision revision of the first page; objects on it may have changed since, so the
+     *     watch begins there
+     */
+    private void list(
+            Optional<String> after, List<Feed.Item<T>> collected, OptionalLong firstRevision) {
         if (mIsClosed) {
             return;
         }
@@ -170,15 +177,16 @@
                                 return;
                             }
                             collected.addAll(page.items());
+                            long revision = firstRevision.orElse(page.revision());
                             Optional<String> last = lastName(page.items());
                             if (page.isTruncated() && last.isPresent()) {
-                                list(last, collected);
+                                list(last, collected, OptionalLong.of(revision));
                                 return;
                             }
                             succeeded();
-                            mSchedule.confirmed(page.revision(), 0);
+                            mSchedule.confirmed(revision, 0);
                             deliver(() -> mListener.listed(collected));
-                            watch(page.revision());
+                            watch(revision);
                         });
     }
 
--- a/gateway/src/main/java/org/sesamedeck/gateway/FleetWatchSchedule.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FleetWatchSchedule.java
@@ -70,7 +70,8 @@
     @Override
     public boolean isOverdue(Duration timeout) {
         if (mIsAlone.getAsBoolean()) {
-            return false;
+            // A long wait that began in a larger fleet.
+            return timeout.compareTo(mPace.timeout()) > 0;
         }
         return mProgress.isBehind(mKind) || timeout.compareTo(shortTimeout()) > 0 && !isConfirmed();
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/RequestReader.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/RequestReader.java
@@ -260,6 +260,11 @@
     }
 
     private void complete() {
+        if (mIsAwaitingAdmission) {
+            // The last part of the body came with the one that made it large.
+            mIsAwaitingAdmission = false;
+            mMemory.cancelWait();
+        }
         ReceivedRequest request = new ReceivedRequest(mHead, mBody, mReservedBytes);
         discard();
         mReservedBytes = 0;
--- a/gateway/src/main/java/org/sesamedeck/gateway/duty/StoreDutyHolder.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/duty/StoreDutyHolder.java
@@ -50,6 +50,9 @@
     /** Processes of higher ranks wait as long as this one before they take over. */
     private static final int MAX_DELAYED_RANK = 10;
 
+    private static final CompletableFuture<Optional<DutyRight>> NOTHING =
+            CompletableFuture.completedFuture(Optional.empty());
+
     private final Clock mClock;
     private final ObjectStore mStore;
     private final Timers mTimers;
@@ -279,9 +282,17 @@
                 : confirm(UnaryOperator.identity());
     }
 
-    /** Reads the record and takes over if nobody holds the duties any more. */
+    /**
+     * Reads the record and takes over if nobody holds the duties any more. A process that reads
+     * seldom has not seen the record change for long, so a stale read comes first.
+     */
     private CompletableFuture<?> poll() {
-        boolean isFresh = mIsInDoubt || isTakeoverDue();
+        return mIsInDoubt
+                ? poll(true)
+                : poll(false).thenCompose(done -> mayTakeOver() ? poll(true) : NOTHING);
+    }
+
+    private CompletableFuture<Optional<DutyRight>> poll(boolean isFresh) {
         return (isFresh ? mStore.get(KEY) : mStore.getStale(KEY))
                 .handle(
                         (stored, failure) -> {
@@ -290,18 +301,11 @@
                             }
                             return failure == null;
                         })
-                .thenCompose(
-                        isRead -> {
-                            boolean takesOver =
-                                    isRead
-                                            && isFresh
-                                            && !isHolder()
-                                            && !mIsStopping
-                                            && isTakeoverDue();
-                            return takesOver
-                                    ? takeOver()
-                                    : CompletableFuture.completedFuture(Optional.empty());
-                        });
+                .thenCompose(isRead -> isRead && isFresh && mayTakeOver() ? takeOver() : NOTHING);
+    }
+
+    private boolean mayTakeOver() {
+        return !isHolder() && !mIsStopping && isTakeoverDue();
     }
 
     private boolean isTakeoverDue() {
@@ -384,6 +388,10 @@
             lost("released");
             return Optional.empty();
         }
+        if (mRefusedFencingNumber.equals(OptionalLong.of(fencingNumber()))) {
+            lost("refused"); // The write was on its way when the platform refused the number.
+            return Optional.empty();
+        }
         taken(fencingNumber());
         DutyRight right = new DutyRight(mName, fencingNumber());
         mGrant = Optional.of(new Grant(right, begunNanos, begun));
--- a/gateway/src/test/java/org/sesamedeck/gateway/CallerMemoryTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/CallerMemoryTest.java
@@ -67,6 +67,20 @@
         assertThat(mMemory.usedBytes(), is(500L));
     }
 
+    /** Guards against memory that is granted to a body which is already complete, and stays. */
+    @Test
+    void bodyThatIsCompleteNoLongerWaits() {
+        Holder first = new Holder(0);
+        Holder second = new Holder(0);
+        assertThat(mMemory.admit(first, 900), is(true));
+        assertThat(mMemory.admit(second, 900), is(false));
+        mMemory.cancelWait(second);
+        mMemory.releaseLarge(first);
+        mScheduler.advance(Duration.ofSeconds(1));
+        assertThat(second.mIsAdmitted, is(false));
+        assertThat(mMemory.usedBytes(), is(0L));
+    }
+
     /** Guards against ending others for the one that weighs most, or for want of any to end. */
     @Test
     void requesterThatWeighsMostIsRefused() {
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/OrderLedger.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/OrderLedger.java
@@ -27,8 +27,17 @@
     private final Map<ServerPool, Order> mOrders = new HashMap<>();
     private final Map<ServerPool, Refusal> mRefusals = new HashMap<>();
 
-    /** An order that may not show its effect yet. */
-    private record Order(int count, boolean isGrowth, long settledAtNanos) {}
+    /**
+     * An order that may not show its effect yet.
+     *
+     * @param previous the order before, which stands if this one is refused
+     */
+    private record Order(
+            int count, boolean isGrowth, long settledAtNanos, Optional<Order> previous) {
+        Order withoutPrevious() {
+            return new Order(count, isGrowth, settledAtNanos, Optional.empty());
+        }
+    }
 
     /** A time in which a pool is not asked for more servers. */
     private record Refusal(Duration time, long endsAtNanos) {}
@@ -50,7 +59,10 @@
     public void ordered(ServerPool pool, int count, int present, Duration startTime) {
         boolean isGrowth = count > present;
         Duration settlingTime = isGrowth ? startTime.plus(TABLE_LAG) : TABLE_LAG;
-        mOrders.put(pool, new Order(count, isGrowth, mClock.nanoTime() + settlingTime.toNanos()));
+        Optional<Order> previous = order(pool).map(Order::withoutPrevious);
+        mOrders.put(
+                pool,
+                new Order(count, isGrowth, mClock.nanoTime() + settlingTime.toNanos(), previous));
     }
 
     /** Records that an order was accepted, which ends the memory of refusals. */
@@ -60,12 +72,19 @@
 
     /** Records that an order was certainly not carried out. */
     public void notOrdered(ServerPool pool) {
-        mOrders.remove(pool);
+        restorePrevious(pool);
+    }
+
+    private void restorePrevious(ServerPool pool) {
+        Order refused = mOrders.remove(pool);
+        if (refused != null) {
+            refused.previous().ifPresent(order -> mOrders.put(pool, order));
+        }
     }
 
     /** Records that no servers are available; each refusal in a row doubles the time. */
     public void refused(ServerPool pool) {
-        mOrders.remove(pool);
+        restorePrevious(pool);
         Duration time =
                 Optional.ofNullable(mRefusals.get(pool))
                         .map(refusal -> refusal.time().multipliedBy(2))
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.routing.EndpointRole;
@@ -43,6 +44,7 @@
     private final LoadForecast mDecode;
     private ServerCounts mFirstCounts = ServerCounts.of(List.of(), "");
     private OptionalLong mFirstSeenNanos = OptionalLong.empty();
+    private Optional<ServerNeed> mLastSettled = Optional.empty();
 
     private ServerNeedEstimator(Clock clock) {
         mClock = clock;
@@ -123,7 +125,16 @@
 
     private ServerNeed settled(int prefill, int decode) {
         if (mDecode.isSettled()) {
-            return new ServerNeed(prefill, decode, true, false);
+            mLastSettled = Optional.of(new ServerNeed(prefill, decode, true, false));
+            return mLastSettled.get();
+        }
+        if (mLastSettled.isPresent()) {
+            // Samples have been lost; what was needed before is needed until there are new ones.
+            return new ServerNeed(
+                    Math.max(prefill, mLastSettled.get().prefill()),
+                    Math.max(decode, mLastSettled.get().decode()),
+                    false,
+                    false);
         }
         int firstPrefill = mFirstCounts.of(EndpointRole.PREFILL);
         int firstOthers = mFirstCounts.total() - firstPrefill;
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
@@ -81,6 +81,17 @@
         assertThat(need().isIdle(), is(true));
     }
 
+    /** Guards against ordering as many servers as there were first when samples are lost. */
+    @Test
+    void lostSamplesKeepTheNeed() {
+        mEstimator.observeServers(servers(30, 0));
+        load(20, new PhaseLoad(2, 0, 40, 32));
+        int settled = need().total();
+        mClock.advance(Duration.ofSeconds(5));
+        assertThat(need().isSettled(), is(false));
+        assertThat(need().total(), is(settled));
+    }
+
     /** Guards against long waits of prompts that go unseen while engines are half idle. */
     @Test
     void longWaitsRaiseTheNeedForPrompts() {
