Stalled bodies and heads no longer keep others out

Found by a review: callers that begin a body and stop held every connection until the idle timeout, and heads that never end could take all memory of the status server, so that a load balancer was refused. A stalled body now makes room for a new connection as a stalled head does, and the largest head of the status server is closed when its memory is used up. CallerCrowdTest has two more kinds: BODY_BEGUN failed before (serves beside the crowd), SHORT_HALF_HEAD held before.

--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
@@ -425,9 +425,9 @@
 
     /** Returns whether the connection may be closed so that a new one finds room. */
     boolean yieldsToNew(long nowNanos) {
-        boolean isReadingHead = mExchange.isEmpty() && !mReader.isReadingBody();
+        boolean isReceiving = mExchange.isEmpty() && !mReader.isAwaitingAdmission();
         boolean isStalled = nowNanos - mLastProgressNanos >= FIRST_REQUEST_TIME.toNanos();
-        return isReadingHead && isStalled;
+        return isReceiving && isStalled;
     }
 
     void close() {
--- a/gateway/src/main/java/org/sesamedeck/gateway/StatusConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/StatusConnection.java
@@ -44,12 +44,23 @@
 
     /** Counts a header field that the decoder has read. */
     void fieldReceived(int bytes) {
-        if (!mServer.tryReserveHead(bytes)) {
+        if (!mServer.tryReserveHead(this, bytes)) {
             throw new OutOfCallerMemoryException();
         }
         mHeadBytes += bytes;
     }
 
+    /** Returns the memory that is reserved for the head in progress. */
+    int headBytes() {
+        return mHeadBytes;
+    }
+
+    /** Gives up the head in progress and closes the connection. */
+    void drop() {
+        releaseHead();
+        close();
+    }
+
     private void releaseHead() {
         mServer.releaseHead(mHeadBytes);
         mHeadBytes = 0;
--- a/gateway/src/main/java/org/sesamedeck/gateway/StatusServer.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/StatusServer.java
@@ -17,7 +17,9 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -129,10 +131,20 @@
         mConnections.remove(connection);
     }
 
-    /** Reserves memory for header fields; the caller without any is closed. */
-    boolean tryReserveHead(int bytes) {
-        if (mFieldBytes + bytes > MAX_FIELD_BYTES) {
-            return false;
+    /**
+     * Reserves memory for header fields. When there is none left, the connection with the largest
+     * head is closed, so that heads which never end do not keep a load balancer out.
+     *
+     * @return false if that is the requester itself
+     */
+    boolean tryReserveHead(StatusConnection requester, int bytes) {
+        while (mFieldBytes + bytes > MAX_FIELD_BYTES) {
+            Optional<StatusConnection> largest =
+                    mConnections.stream().max(Comparator.comparingInt(StatusConnection::headBytes));
+            if (largest.isEmpty() || largest.get() == requester || largest.get().headBytes() == 0) {
+                return false;
+            }
+            largest.get().drop();
         }
         mFieldBytes += bytes;
         return true;
