A restarted control process leaves the endpoints out until it knows them

Cause: the first state update of a started control process carried an empty endpoint table, so the entry process dropped the endpoints it knew. A request that had passed the refusal check before that update then reached admission with an empty pool and waited there until its deadline of 60 s.

An endpoint table that is not known is now left out of the update, which an entry process already takes as "unchanged". A known empty list is still sent. Requests that were let in are served by the endpoints the entry process knows; new ones are refused by the admission flag as before.

StateSizeMeasurement follows the changed return type.

--- a/control/src/main/java/org/sesamedeck/control/ControlComponents.java
+++ b/control/src/main/java/org/sesamedeck/control/ControlComponents.java
@@ -28,6 +28,7 @@
 import org.sesamedeck.platform.ControlScheduler;
 import org.sesamedeck.platform.ObjectKey;
 import org.sesamedeck.platform.ObjectStore;
+import org.sesamedeck.wire.generated.EndpointTable;
 import org.sesamedeck.wire.generated.NodeStatus;
 import org.sesamedeck.wire.generated.UsageReport;
 
@@ -123,7 +124,10 @@
                         node,
                         transport,
                         this::ownStatus,
-                        mEndpointTableBuilder::table);
+                        () ->
+                                mEndpointTableBuilder
+                                        .table()
+                                        .orElse(EndpointTable.getDefaultInstance()));
         mMessageHandler =
                 ControlMessageHandler.create(
                         scheduler,
--- a/control/src/main/java/org/sesamedeck/control/engine/EndpointTableBuilder.java
+++ b/control/src/main/java/org/sesamedeck/control/engine/EndpointTableBuilder.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.sesamedeck.core.SesamedeckException;
 import org.sesamedeck.node.CoordinationNode;
 import org.sesamedeck.node.HostListDocument;
@@ -22,7 +23,8 @@
 
     private final CoordinationNode mNode;
     private final Map<String, EngineGroupDocument> mGroups = new HashMap<>();
-    private EndpointTable mTable = EndpointTable.getDefaultInstance();
+    private Optional<EndpointTable> mTable = Optional.empty();
+    private boolean mHasHostList;
     private boolean mIsOutdated;
 
     private EndpointTableBuilder(CoordinationNode node) {
@@ -37,6 +39,7 @@
 
     private void onDocument(VersionedDocument document) {
         if (document.key().equals(HostListDocument.DOCUMENT_KEY)) {
+            mHasHostList = true;
             mIsOutdated = true;
         } else if (document.key().startsWith(EngineGroupDocument.KIND + "/")) {
             try {
@@ -52,13 +55,13 @@
     }
 
     /**
-     * Returns the table, ordered by endpoint name. The instance stays the same until a document
-     * changes.
+     * Returns the table, ordered by endpoint name; empty until the first host list is known. The
+     * instance stays the same until a document changes.
      */
-    public EndpointTable table() {
-        if (mIsOutdated) {
+    public Optional<EndpointTable> table() {
+        if (mHasHostList && mIsOutdated) {
             mIsOutdated = false;
-            mTable = build();
+            mTable = Optional.of(build());
         }
         return mTable;
     }
--- a/control/src/main/java/org/sesamedeck/control/entry/EntryLink.java
+++ b/control/src/main/java/org/sesamedeck/control/entry/EntryLink.java
@@ -24,9 +24,12 @@
 /**
  * Pushes state updates to the entry process of this host and receives its usage reports. The first
  * update on a connection is complete; a later one contains the parts that changed and always the
- * admission flag and the refusal reason. An update is sent immediately on a change (other than one
- * of the refusal reason alone) and at least every second, so that an entry process detects a
- * control process that has stopped responding. Confined to the control thread.
+ * admission flag and the refusal reason. Endpoints are left out while this process does not know
+ * the host list, so that the entry process keeps the ones it has: an empty table would make
+ * requests that it has let in wait for an endpoint until their deadline. An update is sent
+ * immediately on a change (other than one of the refusal reason alone) and at least every second,
+ * so that an entry process detects a control process that has stopped responding. Confined to the
+ * control thread.
  */
 public final class EntryLink {
     private static final System.Logger LOGGER = System.getLogger(EntryLink.class.getName());
@@ -34,7 +37,7 @@
 
     private final Clock mClock;
     private final CoordinationNode mNode;
-    private final Supplier<EndpointTable> mEndpointTable;
+    private final Supplier<Optional<EndpointTable>> mEndpointTable;
     private final String mProgramVersion;
     private final Map<MessageConnection, LastUpdate> mConnections = new LinkedHashMap<>();
     private Consumer<UsageReport> mUsageListener = report -> {};
@@ -52,7 +55,7 @@
     private EntryLink(
             Clock clock,
             CoordinationNode node,
-            Supplier<EndpointTable> endpointTable,
+            Supplier<Optional<EndpointTable>> endpointTable,
             String programVersion) {
         mClock = clock;
         mNode = node;
@@ -64,13 +67,13 @@
     /**
      * Returns a link without connections.
      *
-     * @param endpointTable supplies the current endpoint table
+     * @param endpointTable supplies the current endpoint table; empty while it is not known
      * @param programVersion version of this program
      */
     public static EntryLink create(
             Clock clock,
             CoordinationNode node,
-            Supplier<EndpointTable> endpointTable,
+            Supplier<Optional<EndpointTable>> endpointTable,
             String programVersion) {
         return new EntryLink(clock, node, endpointTable, programVersion);
     }
@@ -143,17 +146,18 @@
             return;
         }
         Admission admission = mNode.state().admission();
-        StateUpdate state =
+        StateUpdate.Builder state =
                 StateUpdate.newBuilder()
                         .setConfiguration(mConfiguration)
-                        .setEndpoints(mEndpointTable.get())
                         .setUsageTotals(mNode.usageTree().totals())
                         .setAdmitting(admission.isAdmitting())
                         .setRefusalReason(admission.reason())
-                        .setLiveEntries(mNode.membership().present().size())
-                        .build();
+                        .setLiveEntries(mNode.membership().present().size());
+        mEndpointTable.get().ifPresent(state::setEndpoints);
+        StateUpdate complete = state.build();
         long now = mClock.nanoTime();
-        mConnections.forEach((connection, lastUpdate) -> push(connection, lastUpdate, state, now));
+        mConnections.forEach(
+                (connection, lastUpdate) -> push(connection, lastUpdate, complete, now));
     }
 
     private static void push(
@@ -163,7 +167,8 @@
             if (lastUpdate.mState.getConfiguration().equals(state.getConfiguration())) {
                 update.clearConfiguration();
             }
-            if (lastUpdate.mState.getEndpoints().equals(state.getEndpoints())) {
+            if (lastUpdate.mState.hasEndpoints()
+                    && lastUpdate.mState.getEndpoints().equals(state.getEndpoints())) {
                 update.clearEndpoints();
             }
             if (isSameUsage(lastUpdate.mState.getUsageTotals(), state.getUsageTotals())) {
--- a/control/src/test/java/org/sesamedeck/control/engine/StateSizeMeasurement.java
+++ b/control/src/test/java/org/sesamedeck/control/engine/StateSizeMeasurement.java
@@ -111,7 +111,7 @@
             groupBytes += group.compressed().length;
             node.dissemination().publish(group);
         }
-        EndpointTable table = builder.table();
+        EndpointTable table = builder.table().orElseThrow();
         String groupKey = group.key();
         byte[] groupContent = group.compressed();
         long[] version = {group.version()};
@@ -132,7 +132,11 @@
                                 Envelopes.builder()
                                         .setStateUpdate(
                                                 StateUpdate.newBuilder()
-                                                        .setEndpoints(builder.table().toBuilder()))
+                                                        .setEndpoints(
+                                                                builder
+                                                                        .table()
+                                                                        .orElseThrow()
+                                                                        .toBuilder()))
                                         .build()
                                         .toByteArray());
         System.out.printf(
