End the faults of a configuration test that failed midway

The tests of ConfigurationFaultTest share one fleet, and each ended its faults in its last lines only.

After each test the faults are ended and, if it was withdrawn, the service is granted again; all assertions and bounds are as before. FaultyTcpProxy.endFaults takes the three lines that one test had.

--- a/system-tests/src/test/java/org/sesamedeck/system/ConfigurationFaultTest.java
+++ b/system-tests/src/test/java/org/sesamedeck/system/ConfigurationFaultTest.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.sesamedeck.emulator.http.Json;
@@ -29,6 +30,7 @@
     private static Fleet sFleet;
     private static FaultyTcpProxy sPlatformProxy;
     private static ServiceProbe sProbe;
+    private static boolean sMayUseService = true;
 
     @BeforeAll
     static void startFleet() throws Exception {
@@ -46,6 +48,20 @@
         sPlatformProxy.close();
     }
 
+    /**
+     * Ends the faults of a test that failed midway and grants the service again; the tests share
+     * one fleet, and what is left over would fail the next one too.
+     */
+    @AfterEach
+    void endFaults() throws Exception {
+        sFleet.deployment().process("node-3").resume();
+        sPlatformProxy.endFaults();
+        sFleet.setPlatformFaults("{}");
+        if (!sMayUseService) {
+            apply(true);
+        }
+    }
+
     private static long acceptedVersion() throws Exception {
         JsonNode object = sFleet.fetchJson("platform", "/v1/objects/configuration/accepted");
         return Json.parse(object.path("value").asText()).path("version").asLong();
@@ -75,6 +91,7 @@
                         lists.toString(),
                         "If-Match",
                         object.path("version").asText());
+        sMayUseService = mayUseService;
         sFleet.await("the lists are accepted", () -> acceptedVersion() > before);
         return acceptedVersion();
     }
@@ -151,10 +168,7 @@
         long next = apply(true);
         awaitVersion(next, NODES);
         awaitServed(FAULTY_ENTRY);
-        sPlatformProxy.dropData(false, false);
-        // Connections with dropped bytes are unusable.
-        sPlatformProxy.setDisconnected(true);
-        sPlatformProxy.setDisconnected(false);
+        sPlatformProxy.endFaults();
         assertThat(sFleet.configurationVersion("node-3"), equalTo(next));
     }
 
--- a/system-tests/src/test/java/org/sesamedeck/system/FaultyTcpProxy.java
+++ b/system-tests/src/test/java/org/sesamedeck/system/FaultyTcpProxy.java
@@ -65,6 +65,17 @@
         }
     }
 
+    /** Ends all faults and closes the connections whose data was dropped, as they are unusable. */
+    void endFaults() {
+        boolean hasDroppedData = mDropsRequests || mDropsResponses;
+        dropData(false, false);
+        delay(0);
+        if (hasDroppedData) {
+            setDisconnected(true);
+        }
+        setDisconnected(false);
+    }
+
     private void startThread(String name, Runnable task) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
