Load messages carry the usage of client accounts of all processes

Missing: each process judged accounts by what it had started itself; AccountShares.updatePeers had no caller, so that an account that sends to many hosts was within its share at each of them.

Each process now sends its heaviest accounts, and the rest as one sum, in the datagrams that peers exchange anyway; relays sum them as they sum loads.

AccountSharesTest: own() and updatePeers() take the summary; the assertions are the same. New in AccountShares: one in three requests is not set back while those that are set back end unserved.

--- a/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
@@ -4,11 +4,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.sesamedeck.routing.AccountUsage;
 import org.sesamedeck.routing.EndpointLoad;
 import org.sesamedeck.routing.LoadMessage;
 import org.sesamedeck.routing.LoadScope;
 import org.sesamedeck.routing.PrefixUpdate;
 import org.sesamedeck.routing.StoreProgress;
+import org.sesamedeck.routing.UsageSummary;
+import org.sesamedeck.wire.generated.AccountUsageShare;
+import org.sesamedeck.wire.generated.AccountWorkShare;
 import org.sesamedeck.wire.generated.EndpointShare;
 import org.sesamedeck.wire.generated.LoadShare;
 import org.sesamedeck.wire.generated.PrefixShare;
@@ -20,6 +24,9 @@
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    /** Senders name some ten accounts. */
+    private static final int MAX_ACCOUNTS = 64;
+
     private LoadMessageCodec() {}
 
     static byte[] encode(LoadMessage message) {
@@ -53,9 +60,24 @@
                                                     progress.confirmedAgeNanos()
                                                             / NANOS_PER_MILLI)));
         }
+        message.usage().ifPresent(usage -> share.setAccountUsage(encode(usage)));
         return share.build().toByteArray();
     }
 
+    private static AccountUsageShare encode(UsageSummary usage) {
+        AccountUsageShare.Builder share =
+                AccountUsageShare.newBuilder()
+                        .setOtherWork(usage.otherWork())
+                        .setAccounts(usage.accounts());
+        for (AccountUsage account : usage.heaviest()) {
+            share.addHeaviest(
+                    AccountWorkShare.newBuilder()
+                            .setAccount(account.account())
+                            .setWork(account.work()));
+        }
+        return share.build();
+    }
+
     /** Returns the message; empty for bytes of unrelated senders, which may arrive at any port. */
     static Optional<LoadMessage> decode(byte[] bytes) {
         LoadShare share;
@@ -88,7 +110,19 @@
                 scope,
                 loads,
                 updates,
-                storeProgress(share));
+                storeProgress(share),
+                share.hasAccountUsage()
+                        ? Optional.of(usage(share.getAccountUsage()))
+                        : Optional.empty());
+    }
+
+    private static UsageSummary usage(AccountUsageShare share) {
+        List<AccountUsage> heaviest =
+                share.getHeaviestList().stream()
+                        .limit(MAX_ACCOUNTS)
+                        .map(account -> new AccountUsage(account.getAccount(), account.getWork()))
+                        .toList();
+        return new UsageSummary(heaviest, share.getOtherWork(), share.getAccounts());
     }
 
     private static List<StoreProgress> storeProgress(LoadShare share) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -29,6 +29,7 @@
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.gateway.duty.DutyMessageCodec;
 import org.sesamedeck.gateway.duty.DutyTransport;
+import org.sesamedeck.routing.AccountShares;
 import org.sesamedeck.routing.FleetProgress;
 import org.sesamedeck.routing.LoadExchange;
 import org.sesamedeck.routing.LoadMessage;
@@ -70,6 +71,7 @@
     private final Random mRandom;
     private final FleetProgress mProgress;
     private final Map<String, InetSocketAddress> mPeers = new HashMap<>();
+    private Optional<AccountShares> mAccountShares = Optional.empty();
     private Optional<DutyTransport.Listener> mDutyListener = Optional.empty();
     private Channel mChannel;
 
@@ -100,6 +102,11 @@
         mProgress = FleetProgress.create(clock);
     }
 
+    /** Sets what measures the usage of client accounts; must be called before the start. */
+    void setAccountShares(AccountShares shares) {
+        mAccountShares = Optional.of(shares);
+    }
+
     /** Binds the datagram port; blocks until it is bound. */
     void start() throws InterruptedException {
         mChannel =
@@ -129,9 +136,11 @@
 
     private void exchangeLoad() {
         mExchange.updateStoreProgress(mExchange.isFullMesh() ? List.of() : mProgress.toTell());
+        mAccountShares.map(AccountShares::own).ifPresent(mExchange::updateOwnUsage);
         mExchange.round(mRouter.ownLoad(), mRouter.takePrefixUpdates()).forEach(this::send);
         mChannel.flush();
         mExchange.peerTotals().ifPresent(mRouter::updatePeerLoad);
+        mAccountShares.ifPresent(shares -> shares.updatePeers(mExchange.peerUsage()));
         Duration interval = mExchange.isFullMesh() ? MESH_INTERVAL : RELAY_INTERVAL;
         mLoop.schedule(this::sendPartReports, interval.toNanos() / 2, TimeUnit.NANOSECONDS);
         mLoop.schedule(this::exchangeLoad, interval.toNanos(), TimeUnit.NANOSECONDS);
--- a/routing/src/main/java/org/sesamedeck/routing/AccountShares.java
+++ b/routing/src/main/java/org/sesamedeck/routing/AccountShares.java
@@ -2,22 +2,25 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.sesamedeck.core.Clock;
 
 /**
  * Measures how much work each client account has started lately and decides which accounts use more
- * than their share. Not thread-safe.
+ * than their share. Thread-safe.
  *
  * <p>It counts what this process has started itself, and the usage of the other processes where
  * that is known; no request needs a call. An account's share is an equal part among the accounts
- * that have used anything. An account above its share is not limited: it only comes after the
- * others where requests wait, so that an account that is alone may use everything.
+ * that have used anything. An account above its share is not limited: its requests only come after
+ * the others where requests wait, so that an account that is alone may use everything.
+ *
+ * <p>Where requests that were set back are not served, one in three is not set back. Otherwise the
+ * account would get nothing at all while the others fill the capacity; so it is served at least a
+ * third as often as they are.
  */
 public final class AccountShares {
     /** Decay time of the usage. */
@@ -32,12 +35,17 @@
     /** Shares change slowly compared with the decay time. */
     private static final Duration COMPARISON_INTERVAL = Duration.ofMillis(100);
 
+    /** A quarter of what the others get is the least for every account. */
+    private static final int UNSERVED_PER_KEPT_RANK = 2;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Clock mClock;
     private final Map<String, Double> mOwn = new HashMap<>();
-    private Map<String, Double> mPeers = Map.of();
+    private final Map<String, Integer> mUnserved = new HashMap<>();
+    private UsageSummary mPeers = UsageSummary.empty();
     private Set<String> mOverShare = Set.of();
+    private long mSetBack;
     private long mDecayedAtNanos;
     private long mComparedAtNanos;
 
@@ -53,54 +61,91 @@
     }
 
     /** Records the work of a request that this process starts, in prompt tokens. */
-    public void record(String account, double work) {
+    public synchronized void record(String account, double work) {
         if (!account.isEmpty()) {
             decay();
             mOwn.merge(account, work, Double::sum);
         }
     }
 
-    /** Returns the decayed usage of this process, the accounts with most usage first. */
-    public List<AccountUsage> own(int limit) {
+    /** Returns the decayed usage of this process. */
+    public synchronized UsageSummary own() {
         decay();
         List<AccountUsage> usages = new ArrayList<>();
         mOwn.forEach((account, work) -> usages.add(new AccountUsage(account, work.longValue())));
-        usages.sort(Comparator.comparingLong(AccountUsage::work).reversed());
-        return List.copyOf(usages.subList(0, Math.min(limit, usages.size())));
+        return UsageSummary.of(usages);
     }
 
     /** Sets the usage summed over all other processes. */
-    public void updatePeers(List<AccountUsage> usages) {
-        Map<String, Double> peers = new HashMap<>();
-        usages.forEach(usage -> peers.merge(usage.account(), (double) usage.work(), Double::sum));
-        mPeers = peers;
+    public synchronized void updatePeers(UsageSummary usage) {
+        mPeers = usage;
+    }
+
+    /** Returns the usage of all processes as far as it is known, the heaviest accounts first. */
+    public synchronized UsageSummary total() {
+        return UsageSummary.sum(List.of(own(), mPeers));
+    }
+
+    /**
+     * Decides whether a new request of the account comes after those of other accounts: the account
+     * is over its share, and its requests that came after the others were served.
+     */
+    public synchronized boolean setsBack(String account) {
+        if (!isOverShare(account)) {
+            return false;
+        }
+        int unserved = mUnserved.getOrDefault(account, 0);
+        boolean isSetBack = unserved < UNSERVED_PER_KEPT_RANK;
+        if (isSetBack) {
+            mSetBack++;
+        } else {
+            mUnserved.put(account, unserved - UNSERVED_PER_KEPT_RANK);
+        }
+        return isSetBack;
+    }
+
+    /** Records that a request of the account, which was set back, has ended without an answer. */
+    public synchronized void recordUnserved(String account) {
+        if (isOverShare(account)) {
+            mUnserved.merge(account, 1, Integer::sum);
+        }
+    }
+
+    /** Returns the number of requests that have been set back. */
+    public synchronized long setBack() {
+        return mSetBack;
     }
 
     /** Returns whether the account has lately used far more than an equal share. */
-    public boolean isOverShare(String account) {
+    public synchronized boolean isOverShare(String account) {
+        return overShare().contains(account);
+    }
+
+    /** Returns the accounts that have lately used far more than an equal share. */
+    public synchronized Set<String> overShare() {
         long now = mClock.nanoTime();
         if (now - mComparedAtNanos >= COMPARISON_INTERVAL.toNanos()) {
             mComparedAtNanos = now;
             mOverShare = accountsOverShare();
+            mUnserved.keySet().retainAll(mOverShare);
         }
-        return mOverShare.contains(account);
+        return mOverShare;
     }
 
     private Set<String> accountsOverShare() {
-        decay();
-        Map<String, Double> totals = new HashMap<>(mPeers);
-        mOwn.forEach((name, work) -> totals.merge(name, work, Double::sum));
-        double used = totals.values().stream().mapToDouble(Double::doubleValue).sum();
-        double threshold = used / Math.max(1, totals.size()) * ACTIVE_FRACTION;
-        long active = totals.values().stream().filter(work -> work > threshold).count();
-        Set<String> overShare = new HashSet<>();
-        totals.forEach(
-                (account, work) -> {
-                    if (work * active > used * OVER_SHARE_RATIO) {
-                        overShare.add(account);
-                    }
-                });
-        return overShare;
+        UsageSummary total = total();
+        double used = total.otherWork();
+        for (AccountUsage usage : total.heaviest()) {
+            used += usage.work();
+        }
+        double threshold = used / Math.max(1, total.accounts()) * ACTIVE_FRACTION;
+        long inactive =
+                total.heaviest().stream().filter(usage -> usage.work() <= threshold).count();
+        double overShare = used * OVER_SHARE_RATIO / Math.max(1, total.accounts() - inactive);
+        return total.heaviest().stream()
+                .filter(usage -> usage.work() > overShare)
+                .map(AccountUsage::account)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     private void decay() {
--- a/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
@@ -38,6 +38,7 @@
     private final PeerLoads mProcesses;
     private final PeerLoads mGroups;
     private final PeerLoads mFleet;
+    private final UsageExchange mUsage;
     private final RelayChoice mRelays;
     private final RelayChoice mOtherRelays;
     private final Set<PrefixUpdate> mUpdatesForGroups = new LinkedHashSet<>();
@@ -55,6 +56,7 @@
         mProcesses = PeerLoads.create(clock);
         mGroups = PeerLoads.create(clock);
         mFleet = PeerLoads.create(clock);
+        mUsage = new UsageExchange(clock);
         mRelays = new RelayChoice(clock);
         mOtherRelays = new RelayChoice(clock);
     }
@@ -85,6 +87,11 @@
         mStoreProgress = List.copyOf(progress);
     }
 
+    /** Updates the usage of client accounts by this process that the next messages carry. */
+    public void updateOwnUsage(UsageSummary usage) {
+        mUsage.updateOwn(usage);
+    }
+
     /**
      * Returns whether this process is one of a few that watch the store closely for the others, one
      * in every few groups. All processes agree on them; whether they respond is not taken into
@@ -103,6 +110,7 @@
 
     /** Records a message of another process. */
     public void receive(LoadMessage message) {
+        mUsage.receive(message);
         switch (message.scope()) {
             case PROCESS -> {
                 record(mProcesses, message);
@@ -136,6 +144,7 @@
     /** Returns the messages to send now. */
     public List<OutgoingLoad> round(List<EndpointLoad> ownLoads, List<PrefixUpdate> updates) {
         mOwnLoads = List.copyOf(ownLoads);
+        mUsage.beginRound(mNeighbors.size());
         if (mTopology.isFullMesh()) {
             mNeighbors = new LinkedHashSet<>(mTopology.others());
             return meshRound(updates);
@@ -159,10 +168,12 @@
         mUpdatesForGroups.clear();
         boolean isIdle = mOwnLoads.isEmpty();
         // Repeated idle messages carry no information; the first one clears the load at the peers.
-        boolean isNews = !isIdle || !mWasIdle || !updates.isEmpty();
+        Optional<UsageSummary> usage = mUsage.ownToSend();
+        boolean isNews = !isIdle || !mWasIdle || !updates.isEmpty() || usage.isPresent();
         mWasIdle = isIdle;
         return isNews
-                ? List.of(outgoing(LoadScope.PROCESS, mOwnLoads, updates, mTopology.others()))
+                ? List.of(
+                        outgoing(LoadScope.PROCESS, mOwnLoads, updates, usage, mTopology.others()))
                 : List.of();
     }
 
@@ -171,7 +182,8 @@
         boolean isFirstChoice = relays.remove(mSelf);
         List<OutgoingLoad> outgoing = new ArrayList<>();
         if (!relays.isEmpty()) {
-            outgoing.add(outgoing(LoadScope.PROCESS, mOwnLoads, updates, relays));
+            outgoing.add(
+                    outgoing(LoadScope.PROCESS, mOwnLoads, updates, mUsage.ownToSend(), relays));
         }
         List<String> members = members();
         if (isFirstChoice || !members.isEmpty()) {
@@ -197,18 +209,22 @@
                         LoadScope.GROUP,
                         List.copyOf(group.values()),
                         List.copyOf(mUpdatesForGroups),
+                        mUsage.groupToSend(members),
                         List.copyOf(recipients)));
         List<PrefixUpdate> updates = List.copyOf(mUpdatesForMembers);
         Map<String, EndpointLoad> others = otherGroups();
         for (String member : members) {
             Map<String, EndpointLoad> load = new HashMap<>(others);
             addAll(load, mOwnLoads);
-            members.stream()
-                    .filter(name -> !name.equals(member))
-                    .forEach(name -> addAll(load, mProcesses.loadsOf(name)));
+            List<String> rest = members.stream().filter(name -> !name.equals(member)).toList();
+            rest.forEach(name -> addAll(load, mProcesses.loadsOf(name)));
             outgoing.add(
                     outgoing(
-                            LoadScope.FLEET, List.copyOf(load.values()), updates, List.of(member)));
+                            LoadScope.FLEET,
+                            List.copyOf(load.values()),
+                            updates,
+                            mUsage.fleetToSend(rest, mTopology.otherGroups(), mGroups::isFresh),
+                            List.of(member)));
         }
     }
 
@@ -216,10 +232,18 @@
             LoadScope scope,
             List<EndpointLoad> loads,
             List<PrefixUpdate> updates,
+            Optional<UsageSummary> usage,
             List<String> recipients) {
         LoadMessage message =
                 new LoadMessage(
-                        mSelf, mIncarnation, ++mSequence, scope, loads, updates, mStoreProgress);
+                        mSelf,
+                        mIncarnation,
+                        ++mSequence,
+                        scope,
+                        loads,
+                        updates,
+                        mStoreProgress,
+                        usage);
         return new OutgoingLoad(message, recipients);
     }
 
@@ -265,4 +289,15 @@
         members.forEach(member -> addAll(total, mProcesses.loadsOf(member)));
         return Optional.of(total);
     }
+
+    /** Returns the usage of client accounts by all other processes, as far as it is known. */
+    public UsageSummary peerUsage() {
+        if (mTopology.isFullMesh()) {
+            return mUsage.ofProcesses(mTopology.others());
+        }
+        List<String> members = members();
+        return members.isEmpty()
+                ? mUsage.toldBy(mTopology.ownGroup())
+                : mUsage.ofMembersAndGroups(members, mTopology.otherGroups(), mGroups::isFresh);
+    }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/LoadMessage.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadMessage.java
@@ -1,9 +1,11 @@
 package org.sesamedeck.routing;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
- * Load, prefix updates and progress in the store that one process sends to another.
+ * Load, prefix updates, progress in the store and usage of client accounts that one process sends
+ * to another.
  *
  * @param sender name of the sending process
  * @param incarnation identifies one run of the sender; differs after each restart
@@ -12,6 +14,7 @@
  * @param loads load by endpoint; endpoints without load are left out
  * @param prefixUpdates prefix updates since the last message
  * @param storeProgress how far the fleet has followed the store, as the sender knows
+ * @param usage usage of client accounts by the same processes; most messages carry none
  */
 public record LoadMessage(
         String sender,
@@ -20,8 +23,9 @@
         LoadScope scope,
         List<EndpointLoad> loads,
         List<PrefixUpdate> prefixUpdates,
-        List<StoreProgress> storeProgress) {
-    /** Returns a message without progress in the store. */
+        List<StoreProgress> storeProgress,
+        Optional<UsageSummary> usage) {
+    /** Returns a message without progress in the store and without usage. */
     public LoadMessage(
             String sender,
             long incarnation,
@@ -29,6 +33,14 @@
             LoadScope scope,
             List<EndpointLoad> loads,
             List<PrefixUpdate> prefixUpdates) {
-        this(sender, incarnation, sequence, scope, loads, prefixUpdates, List.of());
+        this(
+                sender,
+                incarnation,
+                sequence,
+                scope,
+                loads,
+                prefixUpdates,
+                List.of(),
+                Optional.empty());
     }
 }
--- a/routing/src/test/java/org/sesamedeck/routing/AccountSharesTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/AccountSharesTest.java
@@ -29,7 +29,7 @@
         }
         mClock.advance(Duration.ofSeconds(1));
         assertThat(mShares.isOverShare("account 0"), is(false));
-        mShares.updatePeers(List.of(new AccountUsage("account 0", 10_000)));
+        mShares.updatePeers(UsageSummary.of(List.of(new AccountUsage("account 0", 10_000))));
         mClock.advance(Duration.ofSeconds(1));
         assertThat(mShares.isOverShare("account 0"), is(true));
         assertThat(mShares.isOverShare("account 1"), is(false));
@@ -46,6 +46,51 @@
         assertThat(mShares.isOverShare("account 0"), is(true));
         mClock.advance(Duration.ofMinutes(2));
         assertThat(mShares.isOverShare("account 0"), is(false));
-        assertThat(mShares.own(10), hasSize(0));
+        assertThat(mShares.own().heaviest(), hasSize(0));
+    }
+
+    private void recordTenAccounts() {
+        for (int i = 0; i < 10; i++) {
+            mShares.record("account " + i, i == 0 ? 10_000 : 100);
+        }
+    }
+
+    /** Guards against an account that gets nothing while the others fill the capacity. */
+    @Test
+    void oneInThreeRequestsIsNotSetBackWhileNoneThatIsSetBackIsServed() {
+        recordTenAccounts();
+        int setBack = 0;
+        for (int i = 0; i < 300; i++) {
+            if (mShares.setsBack("account 0")) {
+                setBack++;
+                mShares.recordUnserved("account 0");
+            }
+        }
+        assertThat(setBack, is(200));
+        assertThat(mShares.setBack(), is(200L));
+    }
+
+    /** Guards against an account over its share that passes others although it is served. */
+    @Test
+    void allRequestsAreSetBackWhileTheyAreServed() {
+        recordTenAccounts();
+        for (int i = 0; i < 100; i++) {
+            assertThat(mShares.setsBack("account 0"), is(true));
+            assertThat(mShares.setsBack("account 1"), is(false));
+        }
+    }
+
+    /** Guards against failures of earlier bursts that count in a later one. */
+    @Test
+    void unservedRequestsAreForgottenOnceTheAccountIsWithinItsShare() {
+        recordTenAccounts();
+        for (int i = 0; i < 50; i++) {
+            mShares.recordUnserved("account 0");
+        }
+        mClock.advance(Duration.ofMinutes(1));
+        assertThat(mShares.setsBack("account 0"), is(false));
+        recordTenAccounts();
+        mClock.advance(Duration.ofSeconds(1));
+        assertThat(mShares.setsBack("account 0"), is(true));
     }
 }
