Engines get requests of accounts far over their share after the others

What callers saw: an account at ten times its load waited behind the others in the queue for decode capacity only; at the engines, where prompts wait, its requests had the priority of all others.

RequestAccess decides the rank of a request once, and the queue, the priority at engines and the Retry-After use it. EnginePriorities gives requests that are set back a priority after their route's. Log: setBack in WAITING and SENT; metrics of shares, accounts over their share and requests set back.

EnginePrioritiesTest passes a QueueRank where it passed the priority; its assertions are the same.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -127,6 +127,7 @@
                         mRoleAdvisor,
                         mQuarantine,
                         mDuties.map(DutyService::usageObserver).orElse(UsageObserver.NONE));
+        mPeerExchange.setAccountShares(mRequestHandler.accountShares());
         HeaderCodec headerCodec = mPlatform.headerCodec();
         mEndpointClient = EndpointClient.create(mTrafficLoop, clock, headerCodec);
         mCallerServer =
@@ -391,6 +392,7 @@
         text.value("sesamedeck_endpoints_stated_leaving", mRouter.statedLeavingEndpoints());
         text.value("sesamedeck_endpoints_held_off", mRouter.heldEndpoints());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
+        AccountMetrics.write(text, mRequestHandler.accountShares());
         mServerScaler.ifPresent(scaler -> scaler.write(text));
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
         mDuties.ifPresent(duties -> duties.write(text));
--- a/gateway/src/main/java/org/sesamedeck/gateway/MetricsText.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/MetricsText.java
@@ -19,12 +19,16 @@
                 .append('{')
                 .append(label)
                 .append("=\"")
-                .append(String.valueOf(labelValue).toLowerCase(Locale.ROOT))
+                .append(escape(String.valueOf(labelValue).toLowerCase(Locale.ROOT)))
                 .append("\"} ")
                 .append(value)
                 .append('\n');
     }
 
+    private static String escape(String value) {
+        return value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    }
+
     /** Adds a value without labels. */
     public void value(String name, long value) {
         mText.append(name).append(' ').append(value).append('\n');
--- a/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
+++ b/request/src/main/java/org/sesamedeck/request/AttemptFactory.java
@@ -48,10 +48,7 @@
                 attempt.phase(),
                 remainingTime,
                 mHandler.enginePriorities()
-                        .of(
-                                mAccepted.route(),
-                                mAccepted.access().priority(),
-                                mRequest.promptTokens()),
+                        .of(mAccepted.route(), mAccepted.access().rank(), mRequest.promptTokens()),
                 processedPrompt,
                 cacheSource,
                 mAccepted.access().account().map(ClientAccount::name),
--- a/request/src/main/java/org/sesamedeck/request/EnginePriorities.java
+++ b/request/src/main/java/org/sesamedeck/request/EnginePriorities.java
@@ -10,7 +10,9 @@
  * equally long for all requests of a route, but a long prompt needs much of that time for its own
  * processing. In order of arrival, a burst therefore costs the long prompts of a route their
  * responses and the short ones only some delay. Each route has two priorities here, of which its
- * long prompts get the more urgent one; the order of the routes stays as configured.
+ * long prompts get the more urgent one; the order of the routes stays as configured. Requests of
+ * client accounts far over their share come after both: a priority of their own would not fit the
+ * ten that engines know, so they share that of the long prompts of the next less urgent route.
  */
 final class EnginePriorities {
     /** Weight of the latest prompt in the mean length of the prompts of its route. */
@@ -32,11 +34,15 @@
     /**
      * Returns the priority of a request at an engine; 0 is the most urgent.
      *
-     * @param priority priority of the client account, or else of the route
+     * @param rank rank of the request where requests wait
      */
-    int of(Route route, int priority, long promptTokens) {
+    int of(Route route, QueueRank rank, long promptTokens) {
+        int mostUrgent = PRIORITIES_PER_ROUTE * Math.max(0, rank.priority());
+        if (rank.isSetBack()) {
+            return mostUrgent + PRIORITIES_PER_ROUTE;
+        }
         double mean = mMeanPromptTokens.getOrDefault(route.name(), (double) promptTokens);
         boolean isLong = promptTokens > mean * LONG_PROMPT_FACTOR;
-        return PRIORITIES_PER_ROUTE * Math.max(0, priority) + (isLong ? 0 : 1);
+        return mostUrgent + (isLong ? 0 : 1);
     }
 }
--- a/request/src/main/java/org/sesamedeck/request/RequestAccess.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestAccess.java
@@ -1,6 +1,8 @@
 package org.sesamedeck.request;
 
+import java.util.EnumSet;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Whether a request may run under the configuration in force, and for which client account.
@@ -12,12 +14,19 @@
  * a known key belongs to the account that holds it, and any other to none.
  */
 final class RequestAccess {
+    private static final Set<RequestOutcome> SERVED =
+            EnumSet.of(
+                    RequestOutcome.SERVED,
+                    RequestOutcome.SERVED_LATE,
+                    RequestOutcome.FAILED_BY_ENDPOINT);
+
     private final RequestHandler mHandler;
     private final Optional<String> mKey;
     private final Route mRoute;
     private long mDecidedVersion;
     private boolean mIsAllowed;
     private Optional<ClientAccount> mAccount = Optional.empty();
+    private Optional<Boolean> mIsSetBack = Optional.empty();
 
     private RequestAccess(RequestHandler handler, CallerRequest request, Route route) {
         mHandler = handler;
@@ -43,7 +52,11 @@
     private void decide(ServingConfiguration configuration) {
         ClientAccounts accounts = configuration.accounts();
         mDecidedVersion = configuration.version();
+        Optional<ClientAccount> before = mAccount;
         mAccount = mKey.flatMap(accounts::holderOf);
+        if (!mAccount.equals(before)) {
+            mIsSetBack = Optional.empty();
+        }
         mIsAllowed = !accounts.areRequired() || mRoute.isPublic() || mAccount.isPresent();
     }
 
@@ -58,6 +71,32 @@
                 .orElse(mRoute.priority());
     }
 
+    /**
+     * Returns the rank of the request among others that wait. Whether it comes after those of other
+     * accounts is decided when this is asked first, so that a retry keeps the rank.
+     */
+    QueueRank rank() {
+        if (mIsSetBack.isEmpty()) {
+            mIsSetBack =
+                    Optional.of(
+                            mAccount.map(
+                                            account ->
+                                                    mHandler.accountShares()
+                                                            .setsBack(account.name()))
+                                    .orElse(false));
+        }
+        return new QueueRank(priority(), mIsSetBack.get());
+    }
+
+    /**
+     * Records the end; where requests that were set back are not served, some later ones are not.
+     */
+    void ended(RequestOutcome outcome) {
+        if (mIsSetBack.orElse(false) && !SERVED.contains(outcome)) {
+            mAccount.ifPresent(account -> mHandler.accountShares().recordUnserved(account.name()));
+        }
+    }
+
     /** Returns why the request may not run, without the key. */
     String refusalCause() {
         return mKey.isPresent()
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -287,17 +287,7 @@
     /** Returns the retry-after delay for a request that waited for decode capacity in vain. */
     Optional<Duration> overloadRetryAfter(AcceptedRequest request, String identifier) {
         return requestQueue(request.service())
-                .retryAfter(queueRank(request), mSettings.retryAfter(), identifier);
-    }
-
-    /** Returns the rank of a request where requests wait. */
-    QueueRank queueRank(AcceptedRequest request) {
-        boolean isOverShare =
-                request.access()
-                        .account()
-                        .map(account -> mAccountShares.isOverShare(account.name()))
-                        .orElse(false);
-        return new QueueRank(request.access().priority(), isOverShare);
+                .retryAfter(request.access().rank(), mSettings.retryAfter(), identifier);
     }
 
     /** Records the work of a call that is sent now as used by the account of its request. */
@@ -366,6 +356,11 @@
         return mUsageObserver;
     }
 
+    /** Returns what measures the usage of client accounts. */
+    public AccountShares accountShares() {
+        return mAccountShares;
+    }
+
     EnginePriorities enginePriorities() {
         return mEnginePriorities;
     }
--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -80,7 +80,7 @@
             return;
         }
         RequestQueue queue = mHandler.requestQueue(accepted().service());
-        QueueRank rank = mHandler.queueRank(accepted());
+        QueueRank rank = accepted().access().rank();
         int ahead = queue.ahead(rank);
         if (ahead == 0 && dispatchIfCapacity()) {
             return;
@@ -430,6 +430,7 @@
         mAttempt.ifPresent(Attempt::cancel);
         mAttempt = Optional.empty();
         releasePrompt();
+        mAccepted.ifPresent(it -> it.access().ended(outcome));
         mHandler.ended(this, mLog.end(outcome, mFirstByteNanos, mDeadline.elapsedNanos()));
     }
 
--- a/request/src/main/java/org/sesamedeck/request/RequestLog.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLog.java
@@ -15,6 +15,7 @@
     private final Clock mClock;
     private final RequestTrace mTrace;
     private final CallerRequest mRequest;
+    private Optional<RequestAccess> mAccess = Optional.empty();
 
     private RequestLog(Clock clock, RequestTrace trace, CallerRequest request) {
         mClock = clock;
@@ -30,6 +31,7 @@
     }
 
     void admitted(AcceptedRequest accepted, long remainingNanos) {
+        mAccess = Optional.of(accepted.access());
         LogEntry entry = add(Decision.ADMITTED);
         accepted.access().account().ifPresent(account -> entry.with("account", account.name()));
         entry.with("route", accepted.route().name())
@@ -43,14 +45,14 @@
     }
 
     void queued(int ahead, DecodeCapacity capacity) {
-        add(Decision.WAITING)
+        addRanked(Decision.WAITING)
                 .with("ahead", ahead)
                 .with("answersInProgress", capacity.inProgress())
                 .with("answerLimit", capacity.limit());
     }
 
     void sent(EndpointDescription endpoint, RequestPhase phase, long remainingNanos) {
-        add(Decision.SENT)
+        addRanked(Decision.SENT)
                 .with("endpoint", endpoint.name())
                 .with("phase", phase)
                 .with("timeLeftMillis", remainingNanos / NANOS_PER_MILLI)
@@ -124,6 +126,13 @@
         return mTrace;
     }
 
+    private LogEntry addRanked(Decision decision) {
+        LogEntry entry = add(decision);
+        mAccess.filter(access -> access.rank().isSetBack())
+                .ifPresent(access -> entry.with("setBack", true));
+        return entry;
+    }
+
     private LogEntry add(Decision decision) {
         return mTrace.add(decision, mClock.nanoTime());
     }
--- a/request/src/test/java/org/sesamedeck/request/EnginePrioritiesTest.java
+++ b/request/src/test/java/org/sesamedeck/request/EnginePrioritiesTest.java
@@ -36,6 +36,10 @@
                 List.of(new ServiceShare("models", 1)));
     }
 
+    private static QueueRank ordinary(Route route) {
+        return new QueueRank(route.priority(), false);
+    }
+
     private List<Long> burst(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         List<Long> prompts = new ArrayList<>();
@@ -73,7 +77,7 @@
             List<Integer> order = new ArrayList<>(arrival);
             order.sort(
                     Comparator.comparingInt(
-                            index -> mPriorities.of(route, route.priority(), prompts.get(index))));
+                            index -> mPriorities.of(route, ordinary(route), prompts.get(index))));
             byPriority += servedLongPrompts(prompts, order);
             byArrival += servedLongPrompts(prompts, arrival);
         }
@@ -90,11 +94,29 @@
             mPriorities.record(lessUrgent, 10_000);
         }
         assertThat(
-                mPriorities.of(urgent, urgent.priority(), 500),
-                lessThan(mPriorities.of(lessUrgent, lessUrgent.priority(), 50_000)));
+                mPriorities.of(urgent, ordinary(urgent), 500),
+                lessThan(mPriorities.of(lessUrgent, ordinary(lessUrgent), 50_000)));
         assertThat(
-                mPriorities.of(lessUrgent, lessUrgent.priority(), 50_000),
-                lessThan(mPriorities.of(lessUrgent, lessUrgent.priority(), 9_000)));
-        assertThat(mPriorities.of(urgent, urgent.priority(), 5_000), lessThanOrEqualTo(0));
+                mPriorities.of(lessUrgent, ordinary(lessUrgent), 50_000),
+                lessThan(mPriorities.of(lessUrgent, ordinary(lessUrgent), 9_000)));
+        assertThat(mPriorities.of(urgent, ordinary(urgent), 5_000), lessThanOrEqualTo(0));
+    }
+
+    /**
+     * Guards against an account far over its share that delays the prompts of others at engines.
+     */
+    @Test
+    void requestsThatAreSetBackComeAfterThoseOfTheirRouteButNotAfterLessUrgentOnes() {
+        Route urgent = route("drafts", 0);
+        Route lessUrgent = route("manuals", 1);
+        mPriorities.record(urgent, 1_000);
+        mPriorities.record(lessUrgent, 1_000);
+        for (long tokens : new long[] {100, 50_000}) {
+            int setBack = mPriorities.of(urgent, new QueueRank(0, true), tokens);
+            assertThat(setBack, greaterThan(mPriorities.of(urgent, ordinary(urgent), 100)));
+            assertThat(
+                    setBack,
+                    lessThanOrEqualTo(mPriorities.of(lessUrgent, ordinary(lessUrgent), 50_000)));
+        }
     }
 }
