Outflow of a failure domain: planner, rule and costs, not yet enabled

Between failure domains of a region nothing was weighed: a request compared endpoints sampled from all domains, and only the bytes to another region had a cost. The planner derives a share that may leave from the waits of all domains; EndpointChoice is restricted to the domains in which a request may run. Without locality settings nothing changes.

--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToIntFunction;
 import org.sesamedeck.core.Clock;
+import org.sesamedeck.routing.locality.DomainOutflows;
 
 /**
  * Chooses the best of a few endpoints sampled at random.
@@ -46,6 +47,7 @@
     private final PrefixUpdateBuffer mPrefixUpdates = new PrefixUpdateBuffer();
     private final EndpointExclusions mExclusions;
     private final EngineMemory mMemory = new EngineMemory();
+    private final LocalityRule mLocality;
     private final Map<String, ServiceTimeModel> mServiceTimes = new ConcurrentHashMap<>();
     private final SpeedEstimate.Factory mSpeeds;
     private volatile int mProcesses = 1;
@@ -64,6 +66,7 @@
         mSettings = settings;
         mSubset = RendezvousSubset.of(name, settings);
         mRandom = new SplittableRandom(seed);
+        mLocality = LocalityRule.of(clock, settings, seed);
         mExclusions =
                 new EndpointExclusions(
                         clock, settings.traits().rolesAreStrict(), mRandom.nextLong());
@@ -160,9 +163,34 @@
         Candidates candidates = table.candidates(profile.target());
         EndpointChoice choice =
                 new EndpointChoice(
-                        mSettings, mPrefixes, mMemory, mProcesses, profile, phase, excluded);
+                        mSettings,
+                        mPrefixes,
+                        mMemory,
+                        mProcesses,
+                        profile,
+                        phase,
+                        excluded,
+                        mLocality.settings(table));
         if (phase != RequestPhase.DECODE) {
             choice.considerFetching(table);
+        }
+        mLocality.consider(
+                choice,
+                table,
+                profile,
+                phase,
+                !excluded.isEmpty(),
+                () -> considerRoles(choice, table, candidates, phase));
+        if (choice.isEmpty()) {
+            choice.considerAll(candidates);
+        }
+        choice.compareRegions();
+        return choice;
+    }
+
+    private void considerRoles(
+            EndpointChoice choice, EndpointTable table, Candidates candidates, RequestPhase phase) {
+        if (phase != RequestPhase.DECODE) {
             choice.considerPrefixHolders(table);
         }
         choice.considerRole(candidates, EndpointRole.MIXED, nextRandom());
@@ -172,11 +200,6 @@
         if (phase != RequestPhase.PREFILL) {
             choice.considerRole(candidates, EndpointRole.DECODE, nextRandom());
         }
-        if (choice.isEmpty()) {
-            choice.considerAll(candidates);
-        }
-        choice.compareRegions();
-        return choice;
     }
 
     @Override
@@ -325,6 +348,12 @@
                         (name, state) ->
                                 state.updatePeerLoad(
                                         loads.getOrDefault(name, new EndpointLoad(name, 0, 0))));
+        mLocality.update(mTable);
+    }
+
+    /** Returns which part of the requests may leave; empty where the settings state no locality. */
+    public Optional<DomainOutflows> outflows() {
+        return mLocality.outflows();
     }
 
     @Override
@@ -382,50 +411,22 @@
 
     @Override
     public int usableEndpoints(String pool) {
-        int count = 0;
-        for (EndpointState endpoint : mTable.pool(pool).all()) {
-            count += endpoint.isUsable() ? 1 : 0;
-        }
-        return count;
+        return PoolCapacity.usable(mTable.pool(pool));
     }
 
     @Override
     public int prefillEndpoints(String pool) {
-        return usable(pool, EndpointRole.DECODE);
+        return PoolCapacity.usableExcept(mTable.pool(pool), EndpointRole.DECODE);
     }
 
     @Override
     public int decodeEndpoints(String pool) {
-        return usable(pool, EndpointRole.PREFILL);
-    }
-
-    /** Counts usable endpoints; those of the other role only when there are no others. */
-    private int usable(String pool, EndpointRole otherRole) {
-        int fitting = 0;
-        int others = 0;
-        for (EndpointState endpoint : mTable.pool(pool).all()) {
-            if (endpoint.isUsable()) {
-                if (endpoint.description().role() == otherRole) {
-                    others++;
-                } else {
-                    fitting++;
-                }
-            }
-        }
-        return fitting > 0 ? fitting : others;
+        return PoolCapacity.usableExcept(mTable.pool(pool), EndpointRole.PREFILL);
     }
 
     @Override
     public long expectedWaitNanos(String pool) {
-        double sum = 0;
-        int count = 0;
-        for (EndpointState endpoint : mTable.pool(pool).all()) {
-            if (endpoint.isUsable() && endpoint.description().role() != EndpointRole.DECODE) {
-                sum += endpoint.expectedWaitNanos(1);
-                count++;
-            }
-        }
-        return count == 0 ? 0 : (long) (sum / count);
+        return PoolCapacity.expectedWaitNanos(mTable.pool(pool));
     }
 
     private long nextRandom() {
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.sesamedeck.routing.locality.LinkCost;
+import org.sesamedeck.routing.locality.LocalitySettings;
 
 /** One routing decision: keeps the best endpoint considered so far. */
 final class EndpointChoice {
@@ -17,6 +19,8 @@
     private final RequestProfile mProfile;
     private final RequestPhase mPhase;
     private final Set<String> mExcluded;
+    private final Optional<LocalitySettings> mLocality;
+    private Set<String> mDomains = Set.of();
     private double mFetchableFraction;
     private EndpointState mBest;
     private double mBestRankingCost = Double.POSITIVE_INFINITY;
@@ -34,7 +38,8 @@
             int processes,
             RequestProfile profile,
             RequestPhase phase,
-            Set<String> excluded) {
+            Set<String> excluded,
+            Optional<LocalitySettings> locality) {
         mSettings = settings;
         mPrefixes = prefixes;
         mMemory = memory;
@@ -42,6 +47,12 @@
         mProfile = profile;
         mPhase = phase;
         mExcluded = excluded;
+        mLocality = locality;
+    }
+
+    /** Considers only endpoints of these failure domains from now on; empty for all. */
+    void restrictTo(Set<String> domains) {
+        mDomains = domains;
     }
 
     void considerPrefixHolders(EndpointTable table) {
@@ -138,11 +149,16 @@
         return state.isUsable()
                 && acceptsPhase(state.description())
                 && hasRoom(state)
+                && isInDomain(state.description())
                 && !mExcluded.contains(state.description().name())
                 && (mProfile.allowedRegions().isEmpty()
                         || mProfile.allowedRegions().contains(state.description().region()));
     }
 
+    private boolean isInDomain(EndpointDescription description) {
+        return mDomains.isEmpty() || mDomains.contains(description.failureDomain());
+    }
+
     private boolean hasRoom(EndpointState state) {
         if (!mProfile.isModelRequest()) {
             return true;
@@ -224,7 +240,7 @@
         EndpointDescription description = state.description();
         double cost = state.expectedWaitNanos(1);
         if (!mProfile.isModelRequest()) {
-            return cost + state.plainServiceNanos() + regionNanos(description, 1);
+            return cost + state.plainServiceNanos() + distanceNanos(description, 1);
         }
         double prompt = uncachedTokens * state.prefillNanosPerToken();
         double output =
@@ -239,7 +255,23 @@
         }
         double tokens = mProfile.promptTokens() + (double) mProfile.expectedOutputTokens();
         return cost
-                + regionNanos(description, tokens * mSettings.bytesPerToken() / BYTES_PER_KILOBYTE);
+                + distanceNanos(
+                        description, tokens * mSettings.bytesPerToken() / BYTES_PER_KILOBYTE);
+    }
+
+    private double distanceNanos(EndpointDescription description, double kilobytes) {
+        return mLocality.isEmpty()
+                ? regionNanos(description, kilobytes)
+                : mLocality.get().costTo(description.location()).requestNanos(kilobytes)
+                        + transferNanos(mLocality.get(), description);
+    }
+
+    /** Returns the additional time to fetch the KV cache of the processed prompt. */
+    private double transferNanos(LocalitySettings locality, EndpointDescription description) {
+        return mProfile.cacheLocation()
+                .map(cache -> locality.cost(cache.distanceTo(description.location())))
+                .orElse(LinkCost.NONE)
+                .transferNanos();
     }
 
     private double regionNanos(EndpointDescription description, double kilobytes) {
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointDescription.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointDescription.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.sesamedeck.core.HostAddress;
+import org.sesamedeck.routing.locality.HostLocation;
 
 /**
  * An endpoint as the endpoint table describes it.
@@ -106,6 +107,11 @@
         return name.equals(other.name) && address.equals(other.address) && !isOtherStart;
     }
 
+    /** Returns where its host stands. */
+    public HostLocation location() {
+        return new HostLocation(failureDomain, region);
+    }
+
     /** Returns this description with the state of an endpoint that is leaving. */
     public EndpointDescription asLeaving() {
         return new EndpointDescription(
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -326,6 +326,19 @@
                 mUnstartedSinceReportNanos, reported + processes * mAssignedSinceReportNanos - age);
     }
 
+    /**
+     * Returns the expected wait, but no less than the prompts that the endpoint reported lately, so
+     * that work of processes whose load does not arrive is seen.
+     */
+    synchronized double knownWaitNanos() {
+        long age = mClock.nanoTime() - mReportedAtNanos;
+        double reported =
+                mDescription.isEngine() && mHasReport && age < MAX_PEER_LOAD_AGE_NANOS
+                        ? mReportedPromptNanos - age
+                        : 0;
+        return Math.max(reported, expectedWaitNanos(1));
+    }
+
     /**
      * Returns the expected wait at a plain service. An endpoint that has not reported its slots is
      * taken to have one, so that a new one gets little work until its first response.
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointTable.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointTable.java
@@ -16,22 +16,25 @@
     private final Map<String, String> mPoolByTarget;
     private final Map<String, Candidates> mByPool;
     private final List<EndpointDescription> mSubset;
+    private final boolean mHasSeveralDomainsInRegion;
 
     private EndpointTable(
             Map<String, EndpointState> byName,
             Map<String, Candidates> byTarget,
             Map<String, String> poolByTarget,
             Map<String, Candidates> byPool,
-            List<EndpointDescription> subset) {
+            List<EndpointDescription> subset,
+            boolean hasSeveralDomainsInRegion) {
         mByName = byName;
         mByTarget = byTarget;
         mPoolByTarget = poolByTarget;
         mByPool = byPool;
         mSubset = subset;
+        mHasSeveralDomainsInRegion = hasSeveralDomainsInRegion;
     }
 
     static EndpointTable empty() {
-        return new EndpointTable(Map.of(), Map.of(), Map.of(), Map.of(), List.of());
+        return new EndpointTable(Map.of(), Map.of(), Map.of(), Map.of(), List.of(), false);
     }
 
     /** Builds a table; the function must return a state for each endpoint of the subset. */
@@ -77,7 +80,24 @@
                 byTarget,
                 pools,
                 poolCandidates,
-                byName.values().stream().map(EndpointState::description).toList());
+                byName.values().stream().map(EndpointState::description).toList(),
+                hasSeveralDomainsInRegion(endpoints));
+    }
+
+    private static boolean hasSeveralDomainsInRegion(List<EndpointDescription> endpoints) {
+        Map<String, String> domains = new HashMap<>();
+        for (EndpointDescription endpoint : endpoints) {
+            String known = domains.putIfAbsent(endpoint.region(), endpoint.failureDomain());
+            if (known != null && !known.equals(endpoint.failureDomain())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether a region has endpoints in more than one failure domain. */
+    boolean hasSeveralDomainsInRegion() {
+        return mHasSeveralDomainsInRegion;
     }
 
     Candidates candidates(String target) {
--- a/routing/src/main/java/org/sesamedeck/routing/RequestProfile.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RequestProfile.java
@@ -1,6 +1,8 @@
 package org.sesamedeck.routing;
 
+import java.util.Optional;
 import java.util.Set;
+import org.sesamedeck.routing.locality.HostLocation;
 
 /**
  * Properties of a request that admission and routing use.
@@ -16,6 +18,7 @@
  * @param allowedRegions regions that may serve the request; empty means all
  * @param sharedBlocks number of leading blocks that other requests may share
  * @param deadlineNanos monotonic time by which the request must have started, in nanoseconds
+ * @param cacheLocation where the engine stands that holds the KV cache of the processed prompt
  */
 public record RequestProfile(
         String plan,
@@ -28,7 +31,36 @@
         long[] prefixHashes,
         int sharedBlocks,
         Set<String> allowedRegions,
-        long deadlineNanos) {
+        long deadlineNanos,
+        Optional<HostLocation> cacheLocation) {
+    /** Returns a profile of a request whose prompt is not processed yet. */
+    public RequestProfile(
+            String plan,
+            String clientAccount,
+            String target,
+            boolean isModelRequest,
+            int priority,
+            long promptTokens,
+            long expectedOutputTokens,
+            long[] prefixHashes,
+            int sharedBlocks,
+            Set<String> allowedRegions,
+            long deadlineNanos) {
+        this(
+                plan,
+                clientAccount,
+                target,
+                isModelRequest,
+                priority,
+                promptTokens,
+                expectedOutputTokens,
+                prefixHashes,
+                sharedBlocks,
+                allowedRegions,
+                deadlineNanos,
+                Optional.empty());
+    }
+
     /** Returns a profile whose blocks may all be shared. */
     public RequestProfile(
             String plan,
@@ -68,6 +100,24 @@
                 prefixHashes,
                 sharedBlocks,
                 Set.of(region),
-                deadlineNanos);
+                deadlineNanos,
+                cacheLocation);
+    }
+
+    /** Returns this profile with the place of the KV cache of its processed prompt. */
+    public RequestProfile withCacheAt(HostLocation location) {
+        return new RequestProfile(
+                plan,
+                clientAccount,
+                target,
+                isModelRequest,
+                priority,
+                promptTokens,
+                expectedOutputTokens,
+                prefixHashes,
+                sharedBlocks,
+                allowedRegions,
+                deadlineNanos,
+                Optional.of(location));
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/RouterSettings.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RouterSettings.java
@@ -1,5 +1,8 @@
 package org.sesamedeck.routing;
 
+import java.util.Optional;
+import org.sesamedeck.routing.locality.LocalitySettings;
+
 /**
  * Settings of a router.
  *
@@ -16,6 +19,8 @@
  *     nanoseconds
  * @param decodeNanosPerToken initial estimate of an engine's token interval, in nanoseconds
  * @param traits capabilities of the engines
+ * @param locality cost of leaving the failure domain of this process; empty to disregard failure
+ *     domains
  */
 public record RouterSettings(
         String region,
@@ -27,7 +32,8 @@
         double mismatchFactor,
         double prefillNanosPerToken,
         double decodeNanosPerToken,
-        EngineTraits traits) {
+        EngineTraits traits,
+        Optional<LocalitySettings> locality) {
     /** Returns the defaults for a process in the given region. */
     public static RouterSettings defaults(String region) {
         return new RouterSettings(
@@ -40,7 +46,8 @@
                 0.5,
                 100_000,
                 20_000_000,
-                EngineTraits.unrestricted());
+                EngineTraits.unrestricted(),
+                Optional.empty());
     }
 
     /**
@@ -58,7 +65,8 @@
                 mismatchFactor,
                 prefillNanosPerToken,
                 decodeNanosPerToken,
-                traits);
+                traits,
+                locality);
     }
 
     /**
@@ -76,7 +84,8 @@
                 mismatchFactor,
                 prefillNanos,
                 decodeNanos,
-                traits);
+                traits,
+                locality);
     }
 
     /**
@@ -94,7 +103,8 @@
                 value.rolesAreStrict() ? 0 : mismatchFactor,
                 prefillNanosPerToken,
                 decodeNanosPerToken,
-                value);
+                value,
+                locality);
     }
 
     /** Returns these settings with another number of bytes per token. */
@@ -109,6 +119,23 @@
                 mismatchFactor,
                 prefillNanosPerToken,
                 decodeNanosPerToken,
-                traits);
+                traits,
+                locality);
+    }
+
+    /** Returns these settings with a cost of leaving the failure domain of this process. */
+    public RouterSettings withLocality(LocalitySettings value) {
+        return new RouterSettings(
+                region,
+                subsetSize,
+                minimumPerRegion,
+                candidates,
+                regionMicrosPerKilobyte,
+                bytesPerToken,
+                mismatchFactor,
+                prefillNanosPerToken,
+                decodeNanosPerToken,
+                traits,
+                Optional.of(value));
     }
 }
--- /dev/null
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflow.java
@@ -0,0 +1,36 @@
+package org.sesamedeck.routing.locality;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which part of the requests of this failure domain to a service may leave it, for endpoints of one
+ * role. Immutable.
+ *
+ * @param share fraction of the requests that may leave, 0 to 1
+ * @param costNanos failure domains to which they may go, each with the cost of the way there, in
+ *     nanoseconds; empty exactly if the share is 0
+ * @param homeWaitNanos smoothed wait in this failure domain, in nanoseconds; infinite while it has
+ *     no endpoints
+ */
+public record DomainOutflow(double share, Map<String, Double> costNanos, double homeWaitNanos) {
+    /** Returns an outflow to some failure domains, with the cost of the way to each. */
+    static DomainOutflow of(double share, Map<String, Double> costNanos, double homeWaitNanos) {
+        return new DomainOutflow(share, Map.copyOf(costNanos), homeWaitNanos);
+    }
+
+    /** Returns an outflow that keeps all requests. */
+    public static DomainOutflow none(double homeWaitNanos) {
+        return new DomainOutflow(0, Map.of(), homeWaitNanos);
+    }
+
+    /** Returns whether a request may leave, given a number that is uniform from 0 to 1. */
+    public boolean permits(double uniform) {
+        return uniform < share;
+    }
+
+    /** Returns the failure domains to which requests may go. */
+    public Set<String> domains() {
+        return costNanos.keySet();
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflows.java
@@ -0,0 +1,97 @@
+package org.sesamedeck.routing.locality;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.sesamedeck.core.Clock;
+
+/** The outflows of this process, by service and role. Thread-safe. */
+public final class DomainOutflows {
+    /** Loads are exchanged several times a second; an outflow from older ones is not used. */
+    private static final long MAX_AGE_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** Change of the share that the listener is told. */
+    private static final double NOTABLE_CHANGE = 0.25;
+
+    private final Clock mClock;
+    private final LocalitySettings mSettings;
+    private final Map<ServiceRole, OutflowPlanner> mPlanners = new HashMap<>();
+    private final Map<ServiceRole, Double> mToldShares = new HashMap<>();
+    private volatile OutflowListener mListener = OutflowListener.NONE;
+    private volatile Plan mPlan = new Plan(Map.of(), 0);
+
+    /** Outflows with the time of the loads from which they were derived. */
+    private record Plan(Map<ServiceRole, DomainOutflow> outflows, long plannedAtNanos) {}
+
+    private DomainOutflows(Clock clock, LocalitySettings settings) {
+        mClock = clock;
+        mSettings = settings;
+    }
+
+    /** Returns an instance that knows no loads. */
+    public static DomainOutflows create(Clock clock, LocalitySettings settings) {
+        return new DomainOutflows(clock, settings);
+    }
+
+    /** Sets the receiver of notable changes. */
+    public void setListener(OutflowListener listener) {
+        mListener = listener;
+    }
+
+    /** Replaces the outflows; services that are left out have none. */
+    public synchronized void update(Map<ServiceRole, List<DomainPressure>> pressures) {
+        mPlanners.keySet().retainAll(pressures.keySet());
+        Map<ServiceRole, DomainOutflow> outflows = new HashMap<>();
+        pressures.forEach(
+                (key, domains) ->
+                        outflows.put(
+                                key,
+                                mPlanners
+                                        .computeIfAbsent(
+                                                key, any -> new OutflowPlanner(mClock, mSettings))
+                                        .plan(domains)));
+        mPlan = new Plan(Map.copyOf(outflows), mClock.nanoTime());
+        mToldShares.keySet().retainAll(outflows.keySet());
+        outflows.forEach(this::tell);
+    }
+
+    private void tell(ServiceRole key, DomainOutflow outflow) {
+        double told = mToldShares.getOrDefault(key, 0.0);
+        double share = outflow.share();
+        if (told == 0 && share > 0) {
+            mListener.began(key, outflow);
+        } else if (told > 0 && share == 0) {
+            mListener.ended(key, outflow);
+        } else if (Math.abs(share - told) >= NOTABLE_CHANGE) {
+            mListener.changed(key, outflow);
+        } else {
+            return;
+        }
+        mToldShares.put(key, share);
+    }
+
+    /** Returns the outflow; empty while the present loads of the other processes are unknown. */
+    public Optional<DomainOutflow> current(ServiceRole key) {
+        Plan plan = mPlan;
+        return mClock.nanoTime() - plan.plannedAtNanos() > MAX_AGE_NANOS
+                ? Optional.empty()
+                : Optional.ofNullable(plan.outflows().get(key));
+    }
+
+    /** Returns the present outflows, sorted by service and role; empty while loads are unknown. */
+    public Map<ServiceRole, DomainOutflow> current() {
+        Plan plan = mPlan;
+        Map<ServiceRole, DomainOutflow> sorted =
+                new TreeMap<>(
+                        Comparator.comparing(ServiceRole::service)
+                                .thenComparing(ServiceRole::role));
+        if (mClock.nanoTime() - plan.plannedAtNanos() <= MAX_AGE_NANOS) {
+            sorted.putAll(plan.outflows());
+        }
+        return sorted;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/LinkCost.java
@@ -0,0 +1,21 @@
+package org.sesamedeck.routing.locality;
+
+/**
+ * What the way between two hosts costs, compared with the way inside a failure domain.
+ *
+ * @param delayNanos additional delay of a request and its response, in nanoseconds
+ * @param nanosPerKilobyte cost of the bytes of both ways; an operator states the price of traffic
+ *     as the wait that is worth a kilobyte, in nanoseconds
+ * @param transferNanos additional time to transfer the KV cache of a prompt, in nanoseconds
+ */
+public record LinkCost(double delayNanos, double nanosPerKilobyte, double transferNanos) {
+    /** The way inside a failure domain. */
+    public static final LinkCost NONE = new LinkCost(0, 0, 0);
+
+    /**
+     * Returns the cost of a request with that many kilobytes in both directions, in nanoseconds.
+     */
+    public double requestNanos(double kilobytes) {
+        return delayNanos + kilobytes * nanosPerKilobyte;
+    }
+}
