Requests stay in their failure domain unless leaving pays

A share that follows the load that the domain's requests bring decides how many may leave; decode prefers the domain of its KV cache. Settings [locality], log events OUTFLOW_*, metrics. The share first followed the waits (proportional and integral): at the delays of the exchange it oscillated as soon as it was fast enough for a burst.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -22,8 +22,6 @@
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.EndpointRole;
-import org.sesamedeck.routing.EngineTraits;
-import org.sesamedeck.routing.RouterSettings;
 import org.sesamedeck.routing.quarantine.PartQuarantine;
 
 /**
@@ -40,9 +38,6 @@
      */
     private static final double RETRY_SLACK_FRACTION = 0.7;
 
-    /** Size of a prompt token on the wire, in bytes. */
-    private static final double BYTES_PER_TOKEN = 1;
-
     private final Clock mClock;
     private final Settings mSettings;
     private final PlatformAdapter mPlatform;
@@ -87,7 +82,10 @@
         mPlatform = adapters.create(mControlLoop);
         String name = settings.get(GatewaySettings.NAME);
         long incarnation = new SecureRandom().nextLong();
-        mRouter = DefaultRouter.create(clock, routerSettings(settings), name, name.hashCode());
+        mRouter =
+                DefaultRouter.create(
+                        clock, RouterSettingsReader.read(settings), name, name.hashCode());
+        mRouter.outflows().ifPresent(outflows -> outflows.setListener(new OutflowLog(clock, mLog)));
         mRoleAdvisor = new RoleAdvisor(clock, mLog, this::roleDesired);
         mRoleCoordinator =
                 RoleCoordinator.create(
@@ -173,20 +171,6 @@
         return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
 
-    private static RouterSettings routerSettings(Settings settings) {
-        return RouterSettings.defaults(settings.get(GatewaySettings.REGION))
-                .withTraits(
-                        new EngineTraits(
-                                true,
-                                settings.get(GatewaySettings.FETCH_CACHES),
-                                settings.get(GatewaySettings.BATCH_SCALE),
-                                settings.get(GatewaySettings.TOKEN_INTERVAL_LIMIT).toNanos()))
-                .withBytesPerToken(BYTES_PER_TOKEN)
-                .withSpeed(
-                        settings.get(GatewaySettings.PROMPT_TOKEN_TIME).toNanos(),
-                        settings.get(GatewaySettings.OUTPUT_TOKEN_TIME).toNanos());
-    }
-
     private static RequestSettings requestSettings(Settings settings) {
         return new RequestSettings(
                 settings.get(GatewaySettings.RETRY_RATIO),
@@ -392,6 +376,7 @@
         text.value("sesamedeck_endpoints_held_off", mRouter.heldEndpoints());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
         mServerScaler.ifPresent(scaler -> scaler.write(text));
+        mRouter.outflows().ifPresent(outflows -> OutflowLog.write(text, outflows));
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
         mDuties.ifPresent(duties -> duties.write(text));
         return text.toString();
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
@@ -13,6 +13,7 @@
     private static final String RETRY = "retry";
     private static final String ENGINES = "engines";
     private static final String STORE_SECTION = "store";
+    private static final String LOCALITY = "locality";
 
     /** Name of this process. */
     public static final Setting<String> NAME =
@@ -224,6 +225,83 @@
                     "Token interval above which an engine is assigned no further response; 0ms for"
                             + " no limit.");
 
+    /** Whether requests stay in their failure domain unless leaving pays. */
+    public static final Setting<Boolean> KEEP_LOCAL =
+            Setting.optional(
+                    LOCALITY,
+                    "enabled",
+                    SettingTypes.flag(),
+                    "true",
+                    "Whether requests stay in their failure domain unless leaving pays, where a"
+                            + " region has several.");
+
+    /** Round trip to another failure domain of the region. */
+    public static final Setting<Duration> DOMAIN_DELAY =
+            Setting.optional(
+                    LOCALITY,
+                    "domain-delay",
+                    SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(1)),
+                    "2ms",
+                    "Round trip to another failure domain of the region, beyond that"
+                            + " inside one.");
+
+    /** Round trip to another region. */
+    public static final Setting<Duration> REGION_DELAY =
+            Setting.optional(
+                    LOCALITY,
+                    "region-delay",
+                    SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(10)),
+                    "20ms",
+                    "Round trip to another region, beyond that inside a failure domain.");
+
+    /** Price of traffic between failure domains of a region. */
+    public static final Setting<Duration> DOMAIN_COST =
+            Setting.optional(
+                    LOCALITY,
+                    "domain-cost",
+                    SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(1)),
+                    "100us",
+                    "Wait that is worth a kilobyte of traffic between failure domains of a"
+                            + " region.");
+
+    /** Price of traffic between regions. */
+    public static final Setting<Duration> REGION_COST =
+            Setting.optional(
+                    LOCALITY,
+                    "region-cost",
+                    SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(1)),
+                    "2ms",
+                    "Wait that is worth a kilobyte of traffic between regions.");
+
+    /** Additional time of a KV cache to another failure domain. */
+    public static final Setting<Duration> DOMAIN_TRANSFER_TIME =
+            Setting.optional(
+                    LOCALITY,
+                    "domain-transfer-time",
+                    SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(10)),
+                    "15ms",
+                    "Additional time to transfer the KV cache of a prompt to another"
+                            + " failure domain of the region.");
+
+    /** Additional time of a KV cache to another region. */
+    public static final Setting<Duration> REGION_TRANSFER_TIME =
+            Setting.optional(
+                    LOCALITY,
+                    "region-transfer-time",
+                    SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(60)),
+                    "135ms",
+                    "Additional time to transfer the KV cache of a prompt to another" + " region.");
+
+    /** Wait from which on a failure domain takes no requests of others. */
+    public static final Setting<Duration> FULL_WAIT =
+            Setting.optional(
+                    LOCALITY,
+                    "full-wait",
+                    SettingTypes.duration(Duration.ofMillis(1), Duration.ofMinutes(1)),
+                    "2s",
+                    "Expected wait from which on a failure domain takes no requests of"
+                            + " others.");
+
     /** Time from the stop signal until the process must have exited. */
     public static final Setting<Duration> GRACE =
             Setting.optional(
@@ -262,6 +340,14 @@
                 FETCH_CACHES,
                 BATCH_SCALE,
                 TOKEN_INTERVAL_LIMIT,
+                KEEP_LOCAL,
+                DOMAIN_DELAY,
+                REGION_DELAY,
+                DOMAIN_COST,
+                REGION_COST,
+                DOMAIN_TRANSFER_TIME,
+                REGION_TRANSFER_TIME,
+                FULL_WAIT,
                 GRACE);
     }
 }
--- a/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
+++ b/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
@@ -7,6 +7,7 @@
 import org.sesamedeck.routing.RequestPhase;
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.Router;
+import org.sesamedeck.routing.locality.HostLocation;
 
 /**
  * Decides whether prefill runs on an engine of the prefill role and decode on another engine.
@@ -60,9 +61,9 @@
 
     /**
      * Chooses the endpoint for a phase. A processed prompt is continued in its own region if an
-     * engine there can take it: the KV cache of a long prompt takes many times as long between
-     * regions, and transfers from one engine run one after another, so that each slow transfer
-     * delays all responses behind it.
+     * engine there can take it, and the router prefers its own failure domain: the KV cache of a
+     * long prompt takes many times as long between regions, and transfers from one engine run one
+     * after another, so that each slow transfer delays all responses behind it.
      *
      * @param excluded names of endpoints that already failed this request
      */
@@ -71,13 +72,13 @@
             RequestPhase phase,
             Optional<ProcessedPrompt> prompt,
             Set<String> excluded) {
-        return prompt.flatMap(
-                        processed ->
-                                mRouter.choosePhase(
-                                        profile.inRegion(processed.endpoint().region()),
-                                        phase,
-                                        excluded))
-                .or(() -> mRouter.choosePhase(profile, phase, excluded));
+        if (prompt.isEmpty()) {
+            return mRouter.choosePhase(profile, phase, excluded);
+        }
+        HostLocation cache = prompt.get().endpoint().location();
+        RequestProfile processed = profile.withCacheAt(cache);
+        return mRouter.choosePhase(processed.inRegion(cache.region()), phase, excluded)
+                .or(() -> mRouter.choosePhase(processed, phase, excluded));
     }
 
     private boolean prefersSplit(OptionalLong wholeNanos, OptionalLong prefillNanos) {
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.sesamedeck.core.HashMixer;
 import org.sesamedeck.routing.locality.LinkCost;
 import org.sesamedeck.routing.locality.LocalitySettings;
 
@@ -12,6 +13,9 @@
     private static final double NANOS_PER_MICRO = 1e3;
     private static final double BYTES_PER_KILOBYTE = 1e3;
 
+    /** The highest 53 bits of a hash as a fraction. */
+    private static final double FRACTION_OF_53_BITS = 0x1p-53;
+
     private final RouterSettings mSettings;
     private final PrefixIndex mPrefixes;
     private final EngineMemory mMemory;
@@ -21,6 +25,9 @@
     private final Set<String> mExcluded;
     private final Optional<LocalitySettings> mLocality;
     private Set<String> mDomains = Set.of();
+    private Optional<String> mHomeDomain = Optional.empty();
+    private double mSpreadNanos;
+    private long mSpreadBits;
     private double mFetchableFraction;
     private EndpointState mBest;
     private double mBestRankingCost = Double.POSITIVE_INFINITY;
@@ -55,6 +62,34 @@
         mDomains = domains;
     }
 
+    /**
+     * Compares the endpoints of one failure domain apart from the others from now on, instead of
+     * those of the local region.
+     */
+    void compareApart(String failureDomain) {
+        mHomeDomain = Optional.of(failureDomain);
+    }
+
+    /**
+     * Adds a random part of a time to the cost by which endpoints of one group are ranked. The
+     * processes of a domain see the same old loads of a few endpoints; all of them would send to
+     * the least loaded one until its queue is seen.
+     *
+     * @param nanos work that an endpoint gets while a load is on its way, in nanoseconds
+     */
+    void spread(double nanos, long randomBits) {
+        mSpreadNanos = nanos;
+        mSpreadBits = randomBits;
+    }
+
+    private double spreadNanos() {
+        if (mSpreadNanos <= 0) {
+            return 0;
+        }
+        mSpreadBits = HashMixer.mix(mSpreadBits + 1);
+        return mSpreadNanos * (mSpreadBits >>> 11) * FRACTION_OF_53_BITS;
+    }
+
     void considerPrefixHolders(EndpointTable table) {
         long[] hashes = mProfile.prefixHashes();
         for (int i = hashes.length - 1; i >= 0; i--) {
@@ -177,9 +212,9 @@
     }
 
     /**
-     * Compares an endpoint with the best one so far, separately for the local region and the other
-     * ones. The ranking cost is the cost plus the recent prompts of this router and the work that
-     * the other processes are assumed to have sent; see {@link DefaultRouter}.
+     * Compares an endpoint with the best one so far, separately for the local region or domain and
+     * the other ones. The ranking cost is the cost plus the recent prompts of this router and the
+     * work that the other processes are assumed to have sent; see {@link DefaultRouter}.
      */
     private void consider(EndpointState state, double cachedFraction) {
         double availableFraction = Math.max(cachedFraction, mFetchableFraction);
@@ -190,6 +225,7 @@
         double cost = cost(state, uncachedTokens);
         double rankingCost =
                 cost
+                        + spreadNanos()
                         + state.recentPromptNanos()
                         + state.expectedWaitNanos(mProcesses)
                         - state.expectedWaitNanos(1)
@@ -197,7 +233,7 @@
                                 ? 0
                                 : mProfile.expectedOutputTokens()
                                         * state.peerDecodeNanosPerToken(mProcesses));
-        if (!state.description().region().equals(mSettings.region())) {
+        if (!isHome(state.description())) {
             if (rankingCost < mRemoteRankingCost) {
                 mRemote = state;
                 mRemoteRankingCost = rankingCost;
@@ -212,6 +248,12 @@
         }
     }
 
+    private boolean isHome(EndpointDescription description) {
+        return mHomeDomain.isPresent()
+                ? mHomeDomain.get().equals(description.failureDomain())
+                : description.region().equals(mSettings.region());
+    }
+
     /** Returns null when nothing was eligible. */
     EndpointState best() {
         return mBest;
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -339,6 +339,20 @@
         return Math.max(reported, expectedWaitNanos(1));
     }
 
+    /** Returns the time that the endpoint needs for the work that it has, in nanoseconds. */
+    synchronized double workNanos() {
+        return mDescription.isEngine()
+                ? knownWaitNanos()
+                : plainRequests() * plainServiceNanos() / Math.max(1, mSlots);
+    }
+
+    /** Returns the fraction of the endpoint's capacity that is in use. */
+    synchronized double busyFraction() {
+        double work = mDescription.isEngine() ? knownWaitNanos() : plainRequests();
+        double capacity = mDescription.isEngine() ? 1 : Math.max(1, mSlots);
+        return Math.min(1, Math.ceil(work) / capacity);
+    }
+
     /**
      * Returns the expected wait at a plain service. An endpoint that has not reported its slots is
      * taken to have one, so that a new one gets little work until its first response.
--- a/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -23,6 +24,9 @@
 final class LocalityRule {
     private static final Set<String> ALL_DOMAINS = Set.of();
 
+    /** About the age of the loads of other processes; an endpoint gets as much work meanwhile. */
+    private static final double SPREAD_NANOS = Duration.ofMillis(600).toNanos();
+
     /** The highest 53 bits of a hash as a fraction. */
     private static final double FRACTION_OF_53_BITS = 0x1p-53;
 
@@ -81,6 +85,7 @@
     /** The sample in the domain of the KV cache is additional to the one among all endpoints. */
     private static void considerNearCache(
             EndpointChoice choice, HostLocation cache, Runnable considerRoles) {
+        choice.compareApart(cache.failureDomain());
         choice.restrictTo(Set.of(cache.failureDomain()));
         considerRoles.run();
         choice.restrictTo(ALL_DOMAINS);
@@ -100,7 +105,10 @@
             considerRoles.run();
             return;
         }
-        choice.restrictTo(Set.of(mSettings.get().location().failureDomain()));
+        String home = mSettings.get().location().failureDomain();
+        choice.compareApart(home);
+        choice.spread(SPREAD_NANOS, uniformBits(profile));
+        choice.restrictTo(Set.of(home));
         considerRoles.run();
         if (outflow.get().permits(uniform(profile))) {
             choice.restrictTo(outflow.get().domains());
@@ -122,13 +130,17 @@
 
     /** Returns the same number for all decisions about a request, uniform from 0 to 1. */
     private double uniform(RequestProfile profile) {
+        return (uniformBits(profile) >>> 11) * FRACTION_OF_53_BITS;
+    }
+
+    private long uniformBits(RequestProfile profile) {
         long hash = HashMixer.mix(mSalt ^ profile.deadlineNanos());
         hash = HashMixer.mix(hash ^ profile.promptTokens());
         long[] prefixes = profile.prefixHashes();
         if (prefixes.length > 0) {
             hash = HashMixer.mix(hash ^ prefixes[prefixes.length - 1]);
         }
-        return (hash >>> 11) * FRACTION_OF_53_BITS;
+        return hash;
     }
 
     /** Derives the outflows from the present loads of the endpoints. */
@@ -147,7 +159,7 @@
                         waits.computeIfAbsent(key, any -> new HashMap<>())
                                 .computeIfAbsent(description.location(), any -> new Wait());
                 if (state.isUsable()) {
-                    wait.add(state.knownWaitNanos());
+                    wait.add(state);
                 }
             }
         }
@@ -158,9 +170,7 @@
 
     private static List<DomainPressure> pressures(Map<HostLocation, Wait> waits) {
         List<DomainPressure> pressures = new ArrayList<>();
-        waits.forEach(
-                (location, wait) ->
-                        pressures.add(new DomainPressure(location, wait.mEndpoints, wait.mean())));
+        waits.forEach((location, wait) -> pressures.add(wait.pressure(location)));
         return pressures;
     }
 
@@ -175,18 +185,28 @@
                 new ServiceRole(description.service(), EndpointRole.DECODE));
     }
 
-    /** Sum of the expected waits of the usable endpoints of a domain. */
+    /** Sums over the usable endpoints of a domain. */
     private static final class Wait {
         private int mEndpoints;
-        private double mNanos;
+        private double mWaitNanos;
+        private double mWorkNanos;
+        private double mBusy;
 
-        private void add(double nanos) {
+        private void add(EndpointState state) {
             mEndpoints++;
-            mNanos += nanos;
+            mWaitNanos += state.knownWaitNanos();
+            mWorkNanos += state.workNanos();
+            mBusy += state.busyFraction();
         }
 
-        private double mean() {
-            return mEndpoints == 0 ? 0 : mNanos / mEndpoints;
+        private DomainPressure pressure(HostLocation location) {
+            double endpoints = Math.max(1, mEndpoints);
+            return new DomainPressure(
+                    location,
+                    mEndpoints,
+                    mWaitNanos / endpoints,
+                    mWorkNanos / endpoints,
+                    mBusy / endpoints);
         }
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflow.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflow.java
@@ -9,7 +9,7 @@
  *
  * @param share fraction of the requests that may leave, 0 to 1
  * @param costNanos failure domains to which they may go, each with the cost of the way there, in
- *     nanoseconds; empty exactly if the share is 0
+ *     nanoseconds; empty while the wait is not shorter anywhere
  * @param homeWaitNanos smoothed wait in this failure domain, in nanoseconds; infinite while it has
  *     no endpoints
  */
@@ -26,7 +26,7 @@
 
     /** Returns whether a request may leave, given a number that is uniform from 0 to 1. */
     public boolean permits(double uniform) {
-        return uniform < share;
+        return uniform < share && !costNanos.isEmpty();
     }
 
     /** Returns the failure domains to which requests may go. */
--- a/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
@@ -7,25 +7,27 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.sesamedeck.core.Clock;
 
 /**
- * Derives from the waits of all failure domains which part of the requests to one service may leave
+ * Derives from the loads of all failure domains which part of the requests to one service may leave
  * this one.
  *
  * <p>The load pattern is a failure domain that has more work than its endpoints can do, for seconds
  * (a burst, a peak of the day, lost endpoints), while others have room. All processes of the domain
  * see each other's work a few hundred milliseconds late. If each request went to the shortest
  * queue, all of them would go to the same neighbors until the queues there are seen, and the
- * neighbors' requests would come back. The share that may leave is therefore a controlled variable:
+ * neighbors' requests would come back. A share that follows the waits oscillates for the same
+ * reason as soon as it is fast enough for a burst.
  *
  * <ul>
- *   <li>It is proportional to the difference that moving work can even out (see {@link
- *       WaterLevel}), over a horizon that is several times as long as the delay of the loads, plus
- *       the sum of past differences, without which a lasting overload would keep a lasting wait.
+ *   <li>The share therefore follows the load that the domain's requests bring, which does not
+ *       depend on the share: the domain keeps most of what its endpoints can do, or more if the
+ *       others have more, too. The wait at home that moving work can even out (see {@link
+ *       WaterLevel}) is sent away in addition, over a time that is several times as long as the age
+ *       of the loads.
  *   <li>A neighbor takes requests once its wait plus the way there is shorter than the wait at
  *       home, and no more when its wait alone is not shorter. Between two domains requests can thus
  *       move only to the one with the shorter wait, and the cost of the way is the hysteresis.
@@ -37,33 +39,35 @@
  */
 final class OutflowPlanner {
     /** Several times the age of the loads, so that moved work is seen before it is moved again. */
-    private static final double HORIZON_NANOS = Duration.ofMillis(1_500).toNanos();
+    private static final double EVENING_NANOS = Duration.ofMillis(1_500).toNanos();
 
-    /** Time in which a constant difference adds as much again to the share. */
-    private static final double INTEGRAL_NANOS = Duration.ofMillis(1_500).toNanos();
-
-    /** Time in which a share of 1 returns to 0 when no neighbor is better. */
-    private static final double RETURN_NANOS = Duration.ofSeconds(2).toNanos();
+    /**
+     * Load of the endpoints, as a multiple of what they can do, beyond which requests leave if
+     * others have room. The wait in a domain of few endpoints grows fast near 1.
+     */
+    private static final double KEPT_LOAD = 0.85;
 
     /** Time in which the share may rise from 0 to 1. */
-    private static final double RISE_NANOS = Duration.ofMillis(1_000).toNanos();
+    private static final double RISE_NANOS = Duration.ofMillis(300).toNanos();
 
-    /** Decay time of the averages of the waits, which jump with each prompt. */
-    private static final double SMOOTHING_NANOS = Duration.ofMillis(300).toNanos();
+    /** Time in which the share may return from 1 to 0. */
+    private static final double RETURN_NANOS = Duration.ofMillis(1_000).toNanos();
 
-    /** After a longer gap the loads before it say nothing. */
+    /** The loads before a longer gap say nothing. */
     private static final long MAX_GAP_NANOS = Duration.ofSeconds(2).toNanos();
 
     /** A smaller share is not worth a sample of other endpoints. */
     private static final double MIN_SHARE = 0.01;
 
+    private static final double MIN_OFFERED = 0.01;
+
     private final Clock mClock;
     private final LocalitySettings mSettings;
-    private final Map<String, Double> mWaits = new HashMap<>();
+    private final Map<String, DomainTrend> mTrends = new HashMap<>();
     private final Set<String> mOpen = new HashSet<>();
+    private StayingPart mStaying = new StayingPart();
     private boolean mHasPlan;
     private long mPlannedAtNanos;
-    private double mSum;
     private double mShare;
 
     OutflowPlanner(Clock clock, LocalitySettings settings) {
@@ -71,19 +75,19 @@
         mSettings = settings;
     }
 
-    /** A neighbor with its smoothed wait and the cost of the way there. */
-    private record Neighbor(String domain, int endpoints, double waitNanos, double costNanos) {
+    /** A neighbor with the cost of the way there. */
+    private record Neighbor(String domain, DomainTrend trend, double costNanos) {
         double levelNanos() {
-            return waitNanos + costNanos;
+            return trend.waitNanos() + costNanos;
         }
 
         WaterLevel.Basin basin() {
-            return new WaterLevel.Basin(endpoints, levelNanos());
+            return new WaterLevel.Basin(trend.endpoints(), levelNanos());
         }
     }
 
     /**
-     * Returns the outflow under the present waits.
+     * Returns the outflow under the present loads.
      *
      * @param pressures one entry for each failure domain; one without usable endpoints may be left
      *     out
@@ -97,58 +101,44 @@
         }
         mHasPlan = true;
         mPlannedAtNanos = now;
-        smooth(pressures, elapsed);
-        Optional<DomainPressure> home = home(pressures);
-        List<Neighbor> neighbors = neighbors(pressures);
-        return home.isPresent()
-                ? share(home.get().endpoints(), neighbors, elapsed)
-                : evacuate(neighbors);
+        List<DomainPressure> present =
+                pressures.stream().filter(pressure -> pressure.endpoints() > 0).toList();
+        observe(present, elapsed);
+        mStaying.record(now, mShare, elapsed);
+        List<Neighbor> neighbors = neighbors(present);
+        DomainTrend home = mTrends.get(mSettings.location().failureDomain());
+        return home == null ? evacuate(neighbors) : share(home, neighbors, elapsed);
     }
 
     private void forget() {
-        mWaits.clear();
+        mTrends.clear();
         mOpen.clear();
-        mSum = 0;
+        mStaying = new StayingPart();
         mShare = 0;
     }
 
-    private void smooth(List<DomainPressure> pressures, double elapsed) {
-        double rate = 1 - Math.exp(-elapsed / SMOOTHING_NANOS);
-        Set<String> present = new HashSet<>();
+    private void observe(List<DomainPressure> pressures, double elapsed) {
+        Set<String> domains = new HashSet<>();
         for (DomainPressure pressure : pressures) {
-            if (pressure.endpoints() > 0) {
-                String domain = pressure.location().failureDomain();
-                present.add(domain);
-                double before = mWaits.getOrDefault(domain, pressure.waitNanos());
-                mWaits.put(domain, before + rate * (pressure.waitNanos() - before));
-            }
+            String domain = pressure.location().failureDomain();
+            domains.add(domain);
+            mTrends.computeIfAbsent(domain, any -> new DomainTrend()).observe(pressure, elapsed);
         }
-        mWaits.keySet().retainAll(present);
-    }
-
-    private Optional<DomainPressure> home(List<DomainPressure> pressures) {
-        return pressures.stream()
-                .filter(pressure -> pressure.endpoints() > 0)
-                .filter(pressure -> distance(pressure) == DomainDistance.SAME_DOMAIN)
-                .findFirst();
-    }
-
-    private DomainDistance distance(DomainPressure pressure) {
-        return mSettings.location().distanceTo(pressure.location());
+        mTrends.keySet().retainAll(domains);
     }
 
     /** Returns the neighbors by rising level. */
     private List<Neighbor> neighbors(List<DomainPressure> pressures) {
         List<Neighbor> neighbors = new ArrayList<>();
         for (DomainPressure pressure : pressures) {
-            if (pressure.endpoints() > 0 && distance(pressure) != DomainDistance.SAME_DOMAIN) {
+            DomainDistance distance = mSettings.location().distanceTo(pressure.location());
+            if (distance != DomainDistance.SAME_DOMAIN) {
                 String domain = pressure.location().failureDomain();
                 neighbors.add(
                         new Neighbor(
                                 domain,
-                                pressure.endpoints(),
-                                mWaits.get(domain),
-                                mSettings.cost(distance(pressure)).delayNanos()));
+                                mTrends.get(domain),
+                                mSettings.cost(distance).delayNanos()));
             }
         }
         neighbors.sort(
@@ -156,40 +146,46 @@
         return neighbors;
     }
 
-    private DomainOutflow share(int endpoints, List<Neighbor> neighbors, double elapsed) {
-        double homeWait = mWaits.get(mSettings.location().failureDomain());
+    private DomainOutflow share(DomainTrend home, List<Neighbor> neighbors, double elapsed) {
         List<Neighbor> accepting =
                 neighbors.stream().filter(neighbor -> !isFull(neighbor)).toList();
         double level =
                 WaterLevel.of(
-                        new WaterLevel.Basin(endpoints, homeWait),
+                        new WaterLevel.Basin(home.endpoints(), home.waitNanos()),
                         accepting.stream().map(Neighbor::basin).toList());
-        moveShare((homeWait - level) / HORIZON_NANOS, elapsed);
-        openAndClose(accepting, homeWait, level);
+        double evened = (home.waitNanos() - level) / EVENING_NANOS;
+        double kept = sustainable(home, accepting) - evened;
+        double offered = Math.max(MIN_OFFERED, home.inflow() / mStaying.part());
+        moveShare(accepting.isEmpty() ? 0 : 1 - kept / offered, elapsed);
+        openAndClose(accepting, home.waitNanos(), level);
         List<Neighbor> open =
                 accepting.stream().filter(neighbor -> mOpen.contains(neighbor.domain())).toList();
-        return outflow(open, homeWait);
+        return outflow(open, home.waitNanos());
     }
 
     private boolean isFull(Neighbor neighbor) {
-        return neighbor.waitNanos() >= mSettings.fullWaitNanos();
+        return neighbor.trend().waitNanos() >= mSettings.fullWaitNanos();
     }
 
     /**
-     * Moves the share towards the one that the difference of the waits calls for.
-     *
-     * @param difference difference that can be evened out, in horizons
+     * Returns the load that the domain should keep, as a multiple of what its endpoints can do. It
+     * is beyond the usual one only if the neighbors have more, too.
      */
-    private void moveShare(double difference, double elapsed) {
-        if (difference > 0) {
-            mSum = Math.min(1, mSum + difference * elapsed / INTEGRAL_NANOS);
-        } else {
-            mSum = Math.max(0, mSum - elapsed / RETURN_NANOS);
+    private static double sustainable(DomainTrend home, List<Neighbor> neighbors) {
+        double inflow = home.inflow() * home.endpoints();
+        double endpoints = home.endpoints();
+        for (Neighbor neighbor : neighbors) {
+            inflow += neighbor.trend().inflow() * neighbor.trend().endpoints();
+            endpoints += neighbor.trend().endpoints();
         }
-        double wanted = Math.min(1, difference + mSum);
+        return Math.max(KEPT_LOAD, inflow / endpoints);
+    }
+
+    private void moveShare(double wanted, double elapsed) {
         double highest = mShare + elapsed / RISE_NANOS;
         double lowest = mShare - elapsed / RETURN_NANOS;
-        mShare = Math.max(lowest, Math.min(highest, wanted));
+        double share = Math.max(lowest, Math.min(highest, wanted));
+        mShare = Math.max(0, Math.min(1, share));
     }
 
     private void openAndClose(List<Neighbor> accepting, double homeWait, double level) {
@@ -198,7 +194,7 @@
             if (neighbor.levelNanos() < level) {
                 mOpen.add(neighbor.domain());
             }
-            if (neighbor.waitNanos() < homeWait) {
+            if (neighbor.trend().waitNanos() < homeWait) {
                 lower.add(neighbor.domain());
             }
         }
@@ -206,16 +202,12 @@
     }
 
     private DomainOutflow outflow(List<Neighbor> open, double homeWait) {
-        if (open.isEmpty() || mShare < MIN_SHARE) {
+        if (mShare < MIN_SHARE) {
             return DomainOutflow.none(homeWait);
         }
-        return DomainOutflow.of(mShare, costs(open), homeWait);
-    }
-
-    private static Map<String, Double> costs(List<Neighbor> neighbors) {
         Map<String, Double> costs = new TreeMap<>();
-        neighbors.forEach(neighbor -> costs.put(neighbor.domain(), neighbor.costNanos()));
-        return costs;
+        open.forEach(neighbor -> costs.put(neighbor.domain(), neighbor.costNanos()));
+        return DomainOutflow.of(mShare, costs, homeWait);
     }
 
     /**
@@ -223,7 +215,6 @@
      * and to farther ones once their wait is shorter by more than the way.
      */
     private DomainOutflow evacuate(List<Neighbor> neighbors) {
-        mSum = 1;
         mShare = 1;
         mOpen.clear();
         List<Neighbor> accepting =
