--- a/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
@@ -104,7 +104,7 @@
         List<DomainPressure> present =
                 pressures.stream().filter(pressure -> pressure.endpoints() > 0).toList();
         observe(present, elapsed);
-        mStaying.record(now, mShare, elapsed);
+        mStaying.record(now, mOpen.isEmpty() ? 0 : mShare, elapsed);
         List<Neighbor> neighbors = neighbors(present);
         DomainTrend home = mTrends.get(mSettings.location().failureDomain());
         return home == null ? evacuate(neighbors) : share(home, neighbors, elapsed);
