--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -1,5 +1,6 @@
 package org.sesamedeck.routing;
 
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.Set;
 import org.sesamedeck.core.HashMixer;
@@ -10,6 +11,10 @@
 final class EndpointChoice {
     private static final int MAX_SAMPLE_SIZE = 8;
     private static final int MAX_PREFIX_HOLDERS = 2;
+
+    /** Of the few endpoints of a domain, a larger sample would always contain the same best one. */
+    private static final int DOMAIN_SAMPLE_SIZE = 2;
+
     private static final double NANOS_PER_MICRO = 1e3;
     private static final double BYTES_PER_KILOBYTE = 1e3;
 
@@ -123,12 +128,12 @@
 
     /** Samples without replacement; an ineligible endpoint is replaced by the next eligible one. */
     void considerRole(Candidates candidates, EndpointRole role, long randomBits) {
-        EndpointState[] endpoints = candidates.ofRole(role);
+        EndpointState[] endpoints = inDomains(candidates.ofRole(role));
         int size = endpoints.length;
         if (size == 0) {
             return;
         }
-        int sampleSize = Math.min(Math.min(mSettings.candidates(), MAX_SAMPLE_SIZE), size);
+        int sampleSize = Math.min(Math.min(candidates(), MAX_SAMPLE_SIZE), size);
         long bits = randomBits;
         int[] sampled = new int[sampleSize];
         int count = 0;
@@ -151,6 +156,25 @@
         }
     }
 
+    private int candidates() {
+        return mHomeDomain.isPresent()
+                ? Math.min(DOMAIN_SAMPLE_SIZE, mSettings.candidates())
+                : mSettings.candidates();
+    }
+
+    /**
+     * Returns the endpoints of the failure domains and regions considered. Sampling all endpoints
+     * and going on to the next eligible one would prefer those that follow many of other domains.
+     */
+    private EndpointState[] inDomains(EndpointState[] endpoints) {
+        return mLocality.isEmpty()
+                ? endpoints
+                : Arrays.stream(endpoints)
+                        .filter(state -> isInDomain(state.description()))
+                        .filter(state -> isInRegion(state.description()))
+                        .toArray(EndpointState[]::new);
+    }
+
     private int nextEligible(EndpointState[] endpoints, int start, int[] sampled, int count) {
         for (int step = 0; step < endpoints.length; step++) {
             int index = start + step;
@@ -186,8 +210,12 @@
                 && hasRoom(state)
                 && isInDomain(state.description())
                 && !mExcluded.contains(state.description().name())
-                && (mProfile.allowedRegions().isEmpty()
-                        || mProfile.allowedRegions().contains(state.description().region()));
+                && isInRegion(state.description());
+    }
+
+    private boolean isInRegion(EndpointDescription description) {
+        return mProfile.allowedRegions().isEmpty()
+                || mProfile.allowedRegions().contains(description.region());
     }
 
     private boolean isInDomain(EndpointDescription description) {
