--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -1,15 +1,26 @@
 package org.sesamedeck.routing;
 
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.Set;
+import org.sesamedeck.core.HashMixer;
+import org.sesamedeck.routing.locality.LinkCost;
+import org.sesamedeck.routing.locality.LocalitySettings;
 
 /** One routing decision: keeps the best endpoint considered so far. */
 final class EndpointChoice {
     private static final int MAX_SAMPLE_SIZE = 8;
     private static final int MAX_PREFIX_HOLDERS = 2;
+
+    /** Of the few endpoints of a domain, a larger sample would always contain the same best one. */
+    private static final int DOMAIN_SAMPLE_SIZE = 2;
+
     private static final double NANOS_PER_MICRO = 1e3;
     private static final double BYTES_PER_KILOBYTE = 1e3;
 
+    /** The highest 53 bits of a hash as a fraction. */
+    private static final double FRACTION_OF_53_BITS = 0x1p-53;
+
     private final RouterSettings mSettings;
     private final PrefixIndex mPrefixes;
     private final EngineMemory mMemory;
@@ -17,6 +28,11 @@
     private final RequestProfile mProfile;
     private final RequestPhase mPhase;
     private final Set<String> mExcluded;
+    private final Optional<LocalitySettings> mLocality;
+    private Set<String> mDomains = Set.of();
+    private Optional<String> mHomeDomain = Optional.empty();
+    private double mSpreadNanos;
+    private long mSpreadBits;
     private double mFetchableFraction;
     private EndpointState mBest;
     private double mBestRankingCost = Double.POSITIVE_INFINITY;
@@ -34,7 +50,8 @@
             int processes,
             RequestProfile profile,
             RequestPhase phase,
-            Set<String> excluded) {
+            Set<String> excluded,
+            Optional<LocalitySettings> locality) {
         mSettings = settings;
         mPrefixes = prefixes;
         mMemory = memory;
@@ -42,6 +59,40 @@
         mProfile = profile;
         mPhase = phase;
         mExcluded = excluded;
+        mLocality = locality;
+    }
+
+    /** Considers only endpoints of these failure domains from now on; empty for all. */
+    void restrictTo(Set<String> domains) {
+        mDomains = domains;
+    }
+
+    /**
+     * Compares the endpoints of one failure domain apart from the others from now on, instead of
+     * those of the local region.
+     */
+    void compareApart(String failureDomain) {
+        mHomeDomain = Optional.of(failureDomain);
+    }
+
+    /**
+     * Adds a random part of a time to the cost by which endpoints of one group are ranked. The
+     * processes of a domain see the same old loads of a few endpoints; all of them would send to
+     * the least loaded one until its queue is seen.
+     *
+     * @param nanos work that an endpoint gets while a load is on its way, in nanoseconds
+     */
+    void spread(double nanos, long randomBits) {
+        mSpreadNanos = nanos;
+        mSpreadBits = randomBits;
+    }
+
+    private double spreadNanos() {
+        if (mSpreadNanos <= 0) {
+            return 0;
+        }
+        mSpreadBits = HashMixer.mix(mSpreadBits + 1);
+        return mSpreadNanos * (mSpreadBits >>> 11) * FRACTION_OF_53_BITS;
     }
 
     void considerPrefixHolders(EndpointTable table) {
@@ -77,12 +128,12 @@
 
     /** Samples without replacement; an ineligible endpoint is replaced by the next eligible one. */
     void considerRole(Candidates candidates, EndpointRole role, long randomBits) {
-        EndpointState[] endpoints = candidates.ofRole(role);
+        EndpointState[] endpoints = inDomains(candidates.ofRole(role));
         int size = endpoints.length;
         if (size == 0) {
             return;
         }
-        int sampleSize = Math.min(Math.min(mSettings.candidates(), MAX_SAMPLE_SIZE), size);
+        int sampleSize = Math.min(Math.min(candidates(), MAX_SAMPLE_SIZE), size);
         long bits = randomBits;
         int[] sampled = new int[sampleSize];
         int count = 0;
@@ -105,6 +156,25 @@
         }
     }
 
+    private int candidates() {
+        return mHomeDomain.isPresent()
+                ? Math.min(DOMAIN_SAMPLE_SIZE, mSettings.candidates())
+                : mSettings.candidates();
+    }
+
+    /**
+     * Returns the endpoints of the failure domains and regions considered. Sampling all endpoints
+     * and going on to the next eligible one would prefer those that follow many of other domains.
+     */
+    private EndpointState[] inDomains(EndpointState[] endpoints) {
+        return mLocality.isEmpty()
+                ? endpoints
+                : Arrays.stream(endpoints)
+                        .filter(state -> isInDomain(state.description()))
+                        .filter(state -> isInRegion(state.description()))
+                        .toArray(EndpointState[]::new);
+    }
+
     private int nextEligible(EndpointState[] endpoints, int start, int[] sampled, int count) {
         for (int step = 0; step < endpoints.length; step++) {
             int index = start + step;
@@ -138,9 +208,18 @@
         return state.isUsable()
                 && acceptsPhase(state.description())
                 && hasRoom(state)
+                && isInDomain(state.description())
                 && !mExcluded.contains(state.description().name())
-                && (mProfile.allowedRegions().isEmpty()
-                        || mProfile.allowedRegions().contains(state.description().region()));
+                && isInRegion(state.description());
+    }
+
+    private boolean isInRegion(EndpointDescription description) {
+        return mProfile.allowedRegions().isEmpty()
+                || mProfile.allowedRegions().contains(description.region());
+    }
+
+    private boolean isInDomain(EndpointDescription description) {
+        return mDomains.isEmpty() || mDomains.contains(description.failureDomain());
     }
 
     private boolean hasRoom(EndpointState state) {
@@ -161,9 +240,9 @@
     }
 
     /**
-     * Compares an endpoint with the best one so far, separately for the local region and the other
-     * ones. The ranking cost is the cost plus the recent prompts of this router and the work that
-     * the other processes are assumed to have sent; see {@link DefaultRouter}.
+     * Compares an endpoint with the best one so far, separately for the local region or domain and
+     * the other ones. The ranking cost is the cost plus the recent prompts of this router and the
+     * work that the other processes are assumed to have sent; see {@link DefaultRouter}.
      */
     private void consider(EndpointState state, double cachedFraction) {
         double availableFraction = Math.max(cachedFraction, mFetchableFraction);
@@ -174,6 +253,7 @@
         double cost = cost(state, uncachedTokens);
         double rankingCost =
                 cost
+                        + spreadNanos()
                         + state.recentPromptNanos()
                         + state.expectedWaitNanos(mProcesses)
                         - state.expectedWaitNanos(1)
@@ -181,7 +261,7 @@
                                 ? 0
                                 : mProfile.expectedOutputTokens()
                                         * state.peerDecodeNanosPerToken(mProcesses));
-        if (!state.description().region().equals(mSettings.region())) {
+        if (!isHome(state.description())) {
             if (rankingCost < mRemoteRankingCost) {
                 mRemote = state;
                 mRemoteRankingCost = rankingCost;
@@ -196,6 +276,12 @@
         }
     }
 
+    private boolean isHome(EndpointDescription description) {
+        return mHomeDomain.isPresent()
+                ? mHomeDomain.get().equals(description.failureDomain())
+                : description.region().equals(mSettings.region());
+    }
+
     /** Returns null when nothing was eligible. */
     EndpointState best() {
         return mBest;
@@ -224,7 +310,7 @@
         EndpointDescription description = state.description();
         double cost = state.expectedWaitNanos(1);
         if (!mProfile.isModelRequest()) {
-            return cost + state.plainServiceNanos() + regionNanos(description, 1);
+            return cost + state.plainServiceNanos() + distanceNanos(description, 1);
         }
         double prompt = uncachedTokens * state.prefillNanosPerToken();
         double output =
@@ -239,7 +325,23 @@
         }
         double tokens = mProfile.promptTokens() + (double) mProfile.expectedOutputTokens();
         return cost
-                + regionNanos(description, tokens * mSettings.bytesPerToken() / BYTES_PER_KILOBYTE);
+                + distanceNanos(
+                        description, tokens * mSettings.bytesPerToken() / BYTES_PER_KILOBYTE);
+    }
+
+    private double distanceNanos(EndpointDescription description, double kilobytes) {
+        return mLocality.isEmpty()
+                ? regionNanos(description, kilobytes)
+                : mLocality.get().costTo(description.location()).requestNanos(kilobytes)
+                        + transferNanos(mLocality.get(), description);
+    }
+
+    /** Returns the additional time to fetch the KV cache of the processed prompt. */
+    private double transferNanos(LocalitySettings locality, EndpointDescription description) {
+        return mProfile.cacheLocation()
+                .map(cache -> locality.cost(cache.distanceTo(description.location())))
+                .orElse(LinkCost.NONE)
+                .transferNanos();
     }
 
     private double regionNanos(EndpointDescription description, double kilobytes) {
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -326,6 +326,33 @@
                 mUnstartedSinceReportNanos, reported + processes * mAssignedSinceReportNanos - age);
     }
 
+    /**
+     * Returns the expected wait, but no less than the prompts that the endpoint reported lately, so
+     * that work of processes whose load does not arrive is seen.
+     */
+    synchronized double knownWaitNanos() {
+        long age = mClock.nanoTime() - mReportedAtNanos;
+        double reported =
+                mDescription.isEngine() && mHasReport && age < MAX_PEER_LOAD_AGE_NANOS
+                        ? mReportedPromptNanos - age
+                        : 0;
+        return Math.max(reported, expectedWaitNanos(1));
+    }
+
+    /** Returns the time that the endpoint needs for the work that it has, in nanoseconds. */
+    synchronized double workNanos() {
+        return mDescription.isEngine()
+                ? knownWaitNanos()
+                : plainRequests() * plainServiceNanos() / Math.max(1, mSlots);
+    }
+
+    /** Returns the fraction of the endpoint's capacity that is in use. */
+    synchronized double busyFraction() {
+        double work = mDescription.isEngine() ? knownWaitNanos() : plainRequests();
+        double capacity = mDescription.isEngine() ? 1 : Math.max(1, mSlots);
+        return Math.min(1, Math.ceil(work) / capacity);
+    }
+
     /**
      * Returns the expected wait at a plain service. An endpoint that has not reported its slots is
      * taken to have one, so that a new one gets little work until its first response.
--- /dev/null
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
@@ -0,0 +1,240 @@
+package org.sesamedeck.routing.locality;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.sesamedeck.core.Clock;
+
+/**
+ * Derives from the loads of all failure domains which part of the requests to one service may leave
+ * this one.
+ *
+ * <p>The load pattern is a failure domain that has more work than its endpoints can do, for seconds
+ * (a burst, a peak of the day, lost endpoints), while others have room. All processes of the domain
+ * see each other's work a few hundred milliseconds late. If each request went to the shortest
+ * queue, all of them would go to the same neighbors until the queues there are seen, and the
+ * neighbors' requests would come back. A share that follows the waits oscillates for the same
+ * reason as soon as it is fast enough for a burst.
+ *
+ * <ul>
+ *   <li>The share therefore follows the load that the domain's requests bring, which does not
+ *       depend on the share: the domain keeps most of what its endpoints can do, or more if the
+ *       others have more, too. The wait at home that moving work can even out (see {@link
+ *       WaterLevel}) is sent away in addition, over a time that is several times as long as the age
+ *       of the loads.
+ *   <li>A neighbor takes requests once its wait plus the way there is shorter than the wait at
+ *       home, and no more when its wait alone is not shorter. Between two domains requests can thus
+ *       move only to the one with the shorter wait, and the cost of the way is the hysteresis.
+ *   <li>A neighbor whose own wait is longer than a bound takes nothing.
+ * </ul>
+ *
+ * <p>All processes of a domain compute the same share as far as they know the same loads; there is
+ * no leader. Not thread-safe.
+ */
+final class OutflowPlanner {
+    /** Several times the age of the loads, so that moved work is seen before it is moved again. */
+    private static final double EVENING_NANOS = Duration.ofMillis(1_500).toNanos();
+
+    /**
+     * Load of the endpoints, as a multiple of what they can do, beyond which requests leave if
+     * others have room. The wait in a domain of few endpoints grows fast near 1.
+     */
+    private static final double KEPT_LOAD = 0.85;
+
+    /** Time in which the share may rise from 0 to 1. */
+    private static final double RISE_NANOS = Duration.ofMillis(300).toNanos();
+
+    /** Time in which the share may return from 1 to 0. */
+    private static final double RETURN_NANOS = Duration.ofMillis(1_000).toNanos();
+
+    /** The loads before a longer gap say nothing. */
+    private static final long MAX_GAP_NANOS = Duration.ofSeconds(2).toNanos();
+
+    /** A smaller share is not worth a sample of other endpoints. */
+    private static final double MIN_SHARE = 0.01;
+
+    private static final double MIN_OFFERED = 0.01;
+
+    private final Clock mClock;
+    private final LocalitySettings mSettings;
+    private final Map<String, DomainTrend> mTrends = new HashMap<>();
+    private final Set<String> mOpen = new HashSet<>();
+    private StayingPart mStaying = new StayingPart();
+    private boolean mHasPlan;
+    private long mPlannedAtNanos;
+    private double mShare;
+
+    OutflowPlanner(Clock clock, LocalitySettings settings) {
+        mClock = clock;
+        mSettings = settings;
+    }
+
+    /** A neighbor with the cost of the way there. */
+    private record Neighbor(String domain, DomainTrend trend, double costNanos) {
+        double levelNanos() {
+            return trend.waitNanos() + costNanos;
+        }
+
+        WaterLevel.Basin basin() {
+            return new WaterLevel.Basin(trend.endpoints(), levelNanos());
+        }
+    }
+
+    /**
+     * Returns the outflow under the present loads.
+     *
+     * @param pressures one entry for each failure domain; one without usable endpoints may be left
+     *     out
+     */
+    DomainOutflow plan(List<DomainPressure> pressures) {
+        long now = mClock.nanoTime();
+        double elapsed = mHasPlan ? now - mPlannedAtNanos : 0;
+        if (elapsed > MAX_GAP_NANOS) {
+            forget();
+            elapsed = 0;
+        }
+        mHasPlan = true;
+        mPlannedAtNanos = now;
+        List<DomainPressure> present =
+                pressures.stream().filter(pressure -> pressure.endpoints() > 0).toList();
+        observe(present, elapsed);
+        mStaying.record(now, mOpen.isEmpty() ? 0 : mShare, elapsed);
+        List<Neighbor> neighbors = neighbors(present);
+        DomainTrend home = mTrends.get(mSettings.location().failureDomain());
+        return home == null ? evacuate(neighbors) : share(home, neighbors, elapsed);
+    }
+
+    private void forget() {
+        mTrends.clear();
+        mOpen.clear();
+        mStaying = new StayingPart();
+        mShare = 0;
+    }
+
+    private void observe(List<DomainPressure> pressures, double elapsed) {
+        Set<String> domains = new HashSet<>();
+        for (DomainPressure pressure : pressures) {
+            String domain = pressure.location().failureDomain();
+            domains.add(domain);
+            mTrends.computeIfAbsent(domain, any -> new DomainTrend()).observe(pressure, elapsed);
+        }
+        mTrends.keySet().retainAll(domains);
+    }
+
+    /** Returns the neighbors by rising level. */
+    private List<Neighbor> neighbors(List<DomainPressure> pressures) {
+        List<Neighbor> neighbors = new ArrayList<>();
+        for (DomainPressure pressure : pressures) {
+            DomainDistance distance = mSettings.location().distanceTo(pressure.location());
+            if (distance != DomainDistance.SAME_DOMAIN) {
+                String domain = pressure.location().failureDomain();
+                neighbors.add(
+                        new Neighbor(
+                                domain,
+                                mTrends.get(domain),
+                                mSettings.cost(distance).delayNanos()));
+            }
+        }
+        neighbors.sort(
+                Comparator.comparingDouble(Neighbor::levelNanos).thenComparing(Neighbor::domain));
+        return neighbors;
+    }
+
+    private DomainOutflow share(DomainTrend home, List<Neighbor> neighbors, double elapsed) {
+        List<Neighbor> accepting =
+                neighbors.stream().filter(neighbor -> !isFull(neighbor)).toList();
+        double level =
+                WaterLevel.of(
+                        new WaterLevel.Basin(home.endpoints(), home.waitNanos()),
+                        accepting.stream().map(Neighbor::basin).toList());
+        double evened = (home.waitNanos() - level) / EVENING_NANOS;
+        double kept = sustainable(home, accepting) - evened;
+        double offered = Math.max(MIN_OFFERED, home.inflow() / mStaying.part());
+        moveShare(accepting.isEmpty() ? 0 : 1 - kept / offered, elapsed);
+        openAndClose(accepting, home.waitNanos(), level);
+        List<Neighbor> open =
+                accepting.stream().filter(neighbor -> mOpen.contains(neighbor.domain())).toList();
+        return outflow(open, home.waitNanos());
+    }
+
+    private boolean isFull(Neighbor neighbor) {
+        return neighbor.trend().waitNanos() >= mSettings.fullWaitNanos();
+    }
+
+    /**
+     * Returns the load that the domain should keep, as a multiple of what its endpoints can do. It
+     * is beyond the usual one only if the neighbors have more, too.
+     */
+    private static double sustainable(DomainTrend home, List<Neighbor> neighbors) {
+        double inflow = home.inflow() * home.endpoints();
+        double endpoints = home.endpoints();
+        for (Neighbor neighbor : neighbors) {
+            inflow += neighbor.trend().inflow() * neighbor.trend().endpoints();
+            endpoints += neighbor.trend().endpoints();
+        }
+        return Math.max(KEPT_LOAD, inflow / endpoints);
+    }
+
+    private void moveShare(double wanted, double elapsed) {
+        double highest = mShare + elapsed / RISE_NANOS;
+        double lowest = mShare - elapsed / RETURN_NANOS;
+        double share = Math.max(lowest, Math.min(highest, wanted));
+        mShare = Math.max(0, Math.min(1, share));
+    }
+
+    private void openAndClose(List<Neighbor> accepting, double homeWait, double level) {
+        Set<String> lower = new HashSet<>();
+        for (Neighbor neighbor : accepting) {
+            if (neighbor.levelNanos() < level) {
+                mOpen.add(neighbor.domain());
+            }
+            if (neighbor.trend().waitNanos() < homeWait) {
+                lower.add(neighbor.domain());
+            }
+        }
+        mOpen.retainAll(lower);
+    }
+
+    private DomainOutflow outflow(List<Neighbor> open, double homeWait) {
+        if (mShare < MIN_SHARE) {
+            return DomainOutflow.none(homeWait);
+        }
+        Map<String, Double> costs = new TreeMap<>();
+        open.forEach(neighbor -> costs.put(neighbor.domain(), neighbor.costNanos()));
+        return DomainOutflow.of(mShare, costs, homeWait);
+    }
+
+    /**
+     * Returns the outflow of a domain without endpoints: everything goes to the nearest neighbors,
+     * and to farther ones once their wait is shorter by more than the way.
+     */
+    private DomainOutflow evacuate(List<Neighbor> neighbors) {
+        mShare = 1;
+        mOpen.clear();
+        List<Neighbor> accepting =
+                neighbors.stream().filter(neighbor -> !isFull(neighbor)).toList();
+        List<Neighbor> candidates = accepting.isEmpty() ? neighbors : accepting;
+        double nearestCost = candidates.stream().mapToDouble(Neighbor::costNanos).min().orElse(0);
+        double nearestLevel =
+                candidates.stream()
+                        .filter(neighbor -> neighbor.costNanos() <= nearestCost)
+                        .mapToDouble(Neighbor::levelNanos)
+                        .min()
+                        .orElse(0);
+        List<Neighbor> open =
+                candidates.stream()
+                        .filter(
+                                neighbor ->
+                                        neighbor.costNanos() <= nearestCost
+                                                || neighbor.levelNanos() < nearestLevel)
+                        .toList();
+        open.forEach(neighbor -> mOpen.add(neighbor.domain()));
+        return outflow(open, Double.POSITIVE_INFINITY);
+    }
+}
