A holder that hears a part of the fleet gives nothing back on its load

A process that hears fewer than nine tenths of the most that it heard in the last 10 minutes has not measured the load of all: what was needed before stays needed, and more is still ordered. Before, a holder that was cut off from a part of the fleet took the load of the rest for the whole and gave the servers of the others back after 16 s. Registrations of processes that have ended for good stay in the store, so the number registered can't be the measure.

In a fleet where every process sends to every other one, an idle process was not heard at all; it now repeats its empty load every 0.4 s.

An order to give servers back that has no answer may be carried out seconds later. Its servers are not relied on for 10 s, instead of 3 s.

LoadExchangeTest.idleProcessIsHeard, ServerNeedEstimatorTest .loadOfAPartOfTheFleetLowersNothing and OrderLedgerTest .serversOfAnUnansweredOrderToGiveBackDoNotCountForSeconds fail without the change.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -271,6 +271,7 @@
     }
 
     private void startScaling(ServerScaler scaler) {
+        scaler.setHeardProcesses(mPeerExchange::heardProcesses);
         long sampleMillis = ServerScaler.SAMPLE_INTERVAL.toMillis();
         long planMillis = ServerScaler.PLAN_INTERVAL.toMillis();
         mControlLoop.scheduleAtFixedRate(
--- a/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
@@ -28,7 +28,8 @@
                         .setNode(message.sender())
                         .setIncarnation(message.incarnation())
                         .setSequence(message.sequence())
-                        .setScope(scope(message.scope()));
+                        .setScope(scope(message.scope()))
+                        .setProcesses(message.processes());
         for (EndpointLoad load : message.loads()) {
             share.addEndpoints(
                     EndpointShare.newBuilder()
@@ -88,7 +89,8 @@
                 scope,
                 loads,
                 updates,
-                storeProgress(share));
+                storeProgress(share),
+                share.getProcesses());
     }
 
     private static List<StoreProgress> storeProgress(LoadShare share) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -127,6 +127,11 @@
                 kind, pace, mProgress, mExchange::isFullMesh, mExchange::isStoreWatcher);
     }
 
+    /** Returns the number of processes whose load is known, including this one. */
+    int heardProcesses() {
+        return mExchange.heardProcesses();
+    }
+
     private void exchangeLoad() {
         mExchange.updateStoreProgress(mExchange.isFullMesh() ? List.of() : mProgress.toTell());
         mExchange.round(mRouter.ownLoad(), mRouter.takePrefixUpdates()).forEach(this::send);
--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
@@ -93,7 +93,14 @@
         mReclaimed = reclaimed;
     }
 
-    void sample(Router router, int processes) {
+    /**
+     * Measures the load.
+     *
+     * @param processes number of registered processes
+     * @param heardProcesses number of processes whose load is known
+     */
+    void sample(Router router, int processes, int heardProcesses) {
+        mEstimator.observeProcesses(heardProcesses);
         router.phaseLoad(mName, processes, mCounts::of)
                 .ifPresent(load -> mEstimator.observeLoad(load, mTerms, mCounts, mTargetLatency));
     }
--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.TreeMap;
+import java.util.function.IntSupplier;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.SesamedeckException;
 import org.sesamedeck.gateway.DutyClient;
@@ -70,6 +71,7 @@
     private List<EndpointDescription> mEndpoints = List.of();
     private long mConfigurationVersion = Long.MIN_VALUE;
     private int mProcesses = 1;
+    private IntSupplier mHeardProcesses = () -> mProcesses;
     private boolean mIsOrdering;
     private Optional<Long> mPausedUntilNanos = Optional.empty();
 
@@ -196,9 +198,15 @@
         mProcesses = processes;
     }
 
+    /** Sets what tells the number of processes whose load is known, including this one. */
+    public void setHeardProcesses(IntSupplier heardProcesses) {
+        mHeardProcesses = heardProcesses;
+    }
+
     /** Measures the load; every process does so. */
     public void sample() {
-        mServices.values().forEach(service -> service.sample(mRouter, mProcesses));
+        int heard = mHeardProcesses.getAsInt();
+        mServices.values().forEach(service -> service.sample(mRouter, mProcesses, heard));
     }
 
     /** Plans and starts a round of orders if this process holds the duties. */
@@ -316,6 +324,7 @@
     }
 
     private boolean failed(Step step, DutyRight right, Throwable failure) {
+        step.service().ledger().unanswered(step.order().pool());
         mLog.record(
                 entry(Decision.SERVERS_IN_DOUBT, step, right)
                         .with("cause", String.valueOf(SesamedeckException.from(failure))));
--- a/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
@@ -56,6 +56,7 @@
                 LoadMessageCodec.decode(LoadMessageCodec.encode(message)).orElseThrow();
         assertThat(decoded.sender(), is(message.sender()));
         assertThat(decoded.scope(), is(message.scope()));
+        assertThat(decoded.processes(), is(message.processes()));
         assertThat(decoded.prefixUpdates(), is(message.prefixUpdates()));
         assertThat(decoded.loads(), hasSize(ENDPOINTS));
     }
--- a/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
@@ -30,6 +30,9 @@
     /** More updates than a relay gets between two messages; beyond it, the oldest are dropped. */
     private static final int MAX_PREFIX_UPDATES = 256;
 
+    /** Rounds that an idle process skips, so that its last message does not expire. */
+    private static final int MAX_SILENT_ROUNDS = 3;
+
     /** Spread over the groups, so that the loss of a failure domain leaves some of them. */
     private static final int STORE_WATCHERS = 4;
 
@@ -47,6 +50,7 @@
     private List<StoreProgress> mStoreProgress = List.of();
     private Set<String> mNeighbors = Set.of();
     private boolean mWasIdle;
+    private int mSilentRounds;
     private long mSequence;
 
     private LoadExchange(Clock clock, String self, long incarnation) {
@@ -123,7 +127,12 @@
     }
 
     private static void record(PeerLoads loads, LoadMessage message) {
-        loads.receive(message.sender(), message.incarnation(), message.sequence(), message.loads());
+        loads.receive(
+                message.sender(),
+                message.incarnation(),
+                message.sequence(),
+                message.loads(),
+                message.processes());
     }
 
     private static void queue(List<PrefixUpdate> updates, Set<PrefixUpdate> queue) {
@@ -158,11 +167,13 @@
     private List<OutgoingLoad> meshRound(List<PrefixUpdate> updates) {
         mUpdatesForGroups.clear();
         boolean isIdle = mOwnLoads.isEmpty();
-        // Repeated idle messages carry no information; the first one clears the load at the peers.
+        // The first idle message clears the load at the peers; later ones tell an idle process
+        // from one that is not heard.
         boolean isNews = !isIdle || !mWasIdle || !updates.isEmpty();
         mWasIdle = isIdle;
-        return isNews
-                ? List.of(outgoing(LoadScope.PROCESS, mOwnLoads, updates, mTopology.others()))
+        mSilentRounds = isNews || mSilentRounds == MAX_SILENT_ROUNDS ? 0 : mSilentRounds + 1;
+        return mSilentRounds == 0
+                ? List.of(outgoing(LoadScope.PROCESS, mOwnLoads, updates, mTopology.others(), 1))
                 : List.of();
     }
 
@@ -171,7 +182,7 @@
         boolean isFirstChoice = relays.remove(mSelf);
         List<OutgoingLoad> outgoing = new ArrayList<>();
         if (!relays.isEmpty()) {
-            outgoing.add(outgoing(LoadScope.PROCESS, mOwnLoads, updates, relays));
+            outgoing.add(outgoing(LoadScope.PROCESS, mOwnLoads, updates, relays, 1));
         }
         List<String> members = members();
         if (isFirstChoice || !members.isEmpty()) {
@@ -197,7 +208,8 @@
                         LoadScope.GROUP,
                         List.copyOf(group.values()),
                         List.copyOf(mUpdatesForGroups),
-                        List.copyOf(recipients)));
+                        List.copyOf(recipients),
+                        1 + members.size()));
         List<PrefixUpdate> updates = List.copyOf(mUpdatesForMembers);
         Map<String, EndpointLoad> others = otherGroups();
         for (String member : members) {
@@ -208,7 +220,11 @@
                     .forEach(name -> addAll(load, mProcesses.loadsOf(name)));
             outgoing.add(
                     outgoing(
-                            LoadScope.FLEET, List.copyOf(load.values()), updates, List.of(member)));
+                            LoadScope.FLEET,
+                            List.copyOf(load.values()),
+                            updates,
+                            List.of(member),
+                            processesOfOtherGroups() + members.size()));
         }
     }
 
@@ -216,10 +232,18 @@
             LoadScope scope,
             List<EndpointLoad> loads,
             List<PrefixUpdate> updates,
-            List<String> recipients) {
+            List<String> recipients,
+            int processes) {
         LoadMessage message =
                 new LoadMessage(
-                        mSelf, mIncarnation, ++mSequence, scope, loads, updates, mStoreProgress);
+                        mSelf,
+                        mIncarnation,
+                        ++mSequence,
+                        scope,
+                        loads,
+                        updates,
+                        mStoreProgress,
+                        processes);
         return new OutgoingLoad(message, recipients);
     }
 
@@ -232,13 +256,36 @@
 
     private Map<String, EndpointLoad> otherGroups() {
         Map<String, EndpointLoad> total = new LinkedHashMap<>();
+        otherRelays().forEach(relay -> addAll(total, mGroups.loadsOf(relay)));
+        return total;
+    }
+
+    private int processesOfOtherGroups() {
+        return otherRelays().stream().mapToInt(mGroups::processesOf).sum();
+    }
+
+    /** Returns the best ranked relay of each other group that has sent recently. */
+    private List<String> otherRelays() {
+        List<String> relays = new ArrayList<>();
         for (List<String> group : mTopology.otherGroups()) {
-            group.stream()
-                    .filter(mGroups::isFresh)
-                    .findFirst()
-                    .ifPresent(relay -> addAll(total, mGroups.loadsOf(relay)));
+            group.stream().filter(mGroups::isFresh).findFirst().ifPresent(relays::add);
         }
-        return total;
+        return relays;
+    }
+
+    /**
+     * Returns how many processes the load of {@link #peerTotals} is summed over, with this one. A
+     * group whose relay is not heard, or a part of the fleet that is cut off, is missing in it.
+     */
+    public int heardProcesses() {
+        if (mTopology.isFullMesh()) {
+            return 1 + mProcesses.peers();
+        }
+        List<String> members = members();
+        if (members.isEmpty() && mFleet.peers() > 0) {
+            return 1 + mFleet.latestProcesses();
+        }
+        return 1 + members.size() + processesOfOtherGroups();
     }
 
     private static void addAll(Map<String, EndpointLoad> total, List<EndpointLoad> loads) {
--- a/routing/src/main/java/org/sesamedeck/routing/LoadMessage.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadMessage.java
@@ -12,6 +12,7 @@
  * @param loads load by endpoint; endpoints without load are left out
  * @param prefixUpdates prefix updates since the last message
  * @param storeProgress how far the fleet has followed the store, as the sender knows
+ * @param processes number of processes that the load is summed over; 0 if unknown
  */
 public record LoadMessage(
         String sender,
@@ -20,8 +21,9 @@
         LoadScope scope,
         List<EndpointLoad> loads,
         List<PrefixUpdate> prefixUpdates,
-        List<StoreProgress> storeProgress) {
-    /** Returns a message without progress in the store. */
+        List<StoreProgress> storeProgress,
+        int processes) {
+    /** Returns a message of a single process without progress in the store. */
     public LoadMessage(
             String sender,
             long incarnation,
@@ -29,6 +31,6 @@
             LoadScope scope,
             List<EndpointLoad> loads,
             List<PrefixUpdate> prefixUpdates) {
-        this(sender, incarnation, sequence, scope, loads, prefixUpdates, List.of());
+        this(sender, incarnation, sequence, scope, loads, prefixUpdates, List.of(), 1);
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/PeerLoads.java
+++ b/routing/src/main/java/org/sesamedeck/routing/PeerLoads.java
@@ -18,7 +18,11 @@
 
     /** Last report of one process. */
     private record PeerReport(
-            long incarnation, long sequence, long receivedNanos, List<EndpointLoad> loads) {}
+            long incarnation,
+            long sequence,
+            long receivedNanos,
+            List<EndpointLoad> loads,
+            int processes) {}
 
     private PeerLoads(Clock clock) {
         mClock = clock;
@@ -36,13 +40,30 @@
      * @param sequence increases within an incarnation
      */
     public void receive(String node, long incarnation, long sequence, List<EndpointLoad> loads) {
+        receive(node, incarnation, sequence, loads, 1);
+    }
+
+    /**
+     * Records a report on several processes; one that arrives out of order is ignored.
+     *
+     * @param incarnation identifies one run of the process; differs after each restart
+     * @param sequence increases within an incarnation
+     * @param processes number of processes that the load is summed over
+     */
+    void receive(
+            String node, long incarnation, long sequence, List<EndpointLoad> loads, int processes) {
         PeerReport known = mReports.get(node);
         boolean isOutOfOrder =
                 known != null && known.incarnation == incarnation && known.sequence >= sequence;
         if (!isOutOfOrder) {
             mReports.put(
                     node,
-                    new PeerReport(incarnation, sequence, mClock.nanoTime(), List.copyOf(loads)));
+                    new PeerReport(
+                            incarnation,
+                            sequence,
+                            mClock.nanoTime(),
+                            List.copyOf(loads),
+                            processes));
         }
     }
 
@@ -75,12 +96,24 @@
         return isFresh(node) ? mReports.get(node).loads : List.of();
     }
 
+    /** Returns how many processes the last report is summed over; 0 when it has expired. */
+    int processesOf(String node) {
+        return isFresh(node) ? mReports.get(node).processes : 0;
+    }
+
     /** Returns the load by endpoint in the report that was received last. */
     Optional<Map<String, EndpointLoad>> latest() {
+        return latestReport().map(PeerLoads::byEndpoint);
+    }
+
+    /** Returns how many processes the report that was received last is summed over. */
+    int latestProcesses() {
+        return latestReport().map(PeerReport::processes).orElse(0);
+    }
+
+    private Optional<PeerReport> latestReport() {
         removeExpired();
-        return mReports.values().stream()
-                .max(Comparator.comparingLong(PeerReport::receivedNanos))
-                .map(PeerLoads::byEndpoint);
+        return mReports.values().stream().max(Comparator.comparingLong(PeerReport::receivedNanos));
     }
 
     private static Map<String, EndpointLoad> byEndpoint(PeerReport report) {
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/OrderLedger.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/OrderLedger.java
@@ -15,11 +15,16 @@
  * <p>An order without an answer may be carried out seconds later, and one that was accepted may be
  * undone by such a late one. An order therefore counts for its settling time only; after it, what
  * the endpoint table shows is taken as it is, and the planner orders again if that is not enough.
+ * Servers that an order without an answer gives back are not relied on for longer, since they may
+ * still be taken away.
  */
 public final class OrderLedger {
     /** Time until a server's entry in the endpoint table reaches this process. */
     private static final Duration TABLE_LAG = Duration.ofSeconds(3);
 
+    /** Time within which a call without an answer may still be carried out. */
+    private static final Duration DOUBT_TIME = Duration.ofSeconds(10);
+
     private static final Duration FIRST_REFUSAL_TIME = Duration.ofSeconds(5);
     private static final Duration LONGEST_REFUSAL_TIME = Duration.ofSeconds(40);
 
@@ -52,7 +57,7 @@
     }
 
     /**
-     * Records an order that was accepted or has no answer.
+     * Records an order that is about to be sent.
      *
      * @param present servers that the pool had when the order was planned
      */
@@ -65,6 +70,24 @@
                 new Order(count, isGrowth, mClock.nanoTime() + settlingTime.toNanos(), previous));
     }
 
+    /**
+     * Records that the last order of a pool has no answer. One to give servers back may be carried
+     * out seconds later, while the endpoint table still shows these servers.
+     */
+    public void unanswered(ServerPool pool) {
+        order(pool)
+                .filter(order -> !order.isGrowth())
+                .ifPresent(
+                        order ->
+                                mOrders.put(
+                                        pool,
+                                        new Order(
+                                                order.count(),
+                                                false,
+                                                mClock.nanoTime() + DOUBT_TIME.toNanos(),
+                                                Optional.empty())));
+    }
+
     /** Records that an order was accepted, which ends the memory of refusals. */
     public void accepted(ServerPool pool) {
         mRefusals.remove(pool);
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
@@ -40,14 +40,17 @@
     private static final Duration REGISTRATION_TIME = Duration.ofSeconds(6);
 
     private final Clock mClock;
+    private final LoadCoverage mCoverage;
     private final LoadForecast mPrefill;
     private final LoadForecast mDecode;
     private ServerCounts mFirstCounts = ServerCounts.of(List.of(), "");
     private OptionalLong mFirstSeenNanos = OptionalLong.empty();
     private Optional<ServerNeed> mLastSettled = Optional.empty();
+    private OptionalLong mLastPartialNanos = OptionalLong.empty();
 
     private ServerNeedEstimator(Clock clock) {
         mClock = clock;
+        mCoverage = new LoadCoverage(clock);
         mPrefill = new LoadForecast(clock);
         mDecode = new LoadForecast(clock);
     }
@@ -86,6 +89,25 @@
                 && mClock.nanoTime() - mFirstSeenNanos.getAsLong() >= REGISTRATION_TIME.toNanos();
     }
 
+    /**
+     * Records of how many processes the load is known. While many are missing, the load counts as
+     * more than was measured: what was needed before stays needed.
+     *
+     * @param processes processes that the measured load is summed over, this one included
+     */
+    public void observeProcesses(int processes) {
+        mCoverage.observe(processes);
+        if (!mCoverage.isWhole(processes)) {
+            mLastPartialNanos = OptionalLong.of(mClock.nanoTime());
+        }
+    }
+
+    private boolean wasPartial() {
+        long holdNanos = LoadForecast.HOLD_TIME.toNanos();
+        return mLastPartialNanos.isPresent()
+                && mClock.nanoTime() - mLastPartialNanos.getAsLong() < holdNanos;
+    }
+
     /**
      * Records a measurement of the load; called several times a second.
      *
@@ -124,7 +146,7 @@
     }
 
     private ServerNeed settled(int prefill, int decode) {
-        if (mDecode.isSettled()) {
+        if (mDecode.isSettled() && !wasPartial()) {
             mLastSettled = Optional.of(new ServerNeed(prefill, decode, true, false));
             return mLastSettled.get();
         }
--- a/routing/src/test/java/org/sesamedeck/routing/LoadExchangeTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/LoadExchangeTest.java
@@ -171,4 +171,33 @@
             }
         }
     }
+
+    /** Guards against taking the load of a part of the fleet for that of all. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 16, 17, 62, 95, 490})
+    void everyProcessKnowsOfHowManyItKnowsTheLoad(int count) {
+        start(count);
+        rounds(12, Map.of());
+        mProcesses.forEach(
+                (name, exchange) -> assertThat(name, exchange.heardProcesses(), is(count)));
+        mProcesses.keySet().stream().skip(count / 2).forEach(mDown::add);
+        rounds(12, Map.of());
+        mProcesses.forEach(
+                (name, exchange) -> {
+                    if (!mDown.contains(name)) {
+                        assertThat(name, exchange.heardProcesses(), is(count / 2));
+                    }
+                });
+    }
+
+    /** Guards against an idle process that counts as not heard. */
+    @Test
+    void idleProcessIsHeard() {
+        start(3);
+        for (int round = 0; round < 40; round++) {
+            mProcesses.values().forEach(exchange -> send(exchange.round(List.of(), List.of())));
+            mClock.advance(Duration.ofMillis(100));
+        }
+        mProcesses.forEach((name, exchange) -> assertThat(name, exchange.heardProcesses(), is(3)));
+    }
 }
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/OrderLedgerTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/OrderLedgerTest.java
@@ -34,4 +34,25 @@
         mLedger.refused(POOL);
         assertThat(mLedger.expected(POOL, 2), is(2));
     }
+
+    /** Guards against relying on servers that a call without an answer may still take away. */
+    @Test
+    void serversOfAnUnansweredOrderToGiveBackDoNotCountForSeconds() {
+        mLedger.ordered(POOL, 4, 10, START_TIME);
+        mLedger.unanswered(POOL);
+        mClock.advance(Duration.ofSeconds(9));
+        assertThat(mLedger.staying(POOL, 10), is(4));
+        assertThat(mLedger.expected(POOL, 10), is(4));
+        mClock.advance(Duration.ofSeconds(2));
+        assertThat(mLedger.staying(POOL, 10), is(10));
+    }
+
+    /** Guards against servers that count as gone although the platform has kept them. */
+    @Test
+    void answeredOrderToGiveBackCountsUntilTheTableMustShowIt() {
+        mLedger.ordered(POOL, 4, 10, START_TIME);
+        mLedger.accepted(POOL);
+        mClock.advance(Duration.ofSeconds(4));
+        assertThat(mLedger.staying(POOL, 10), is(10));
+    }
 }
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
@@ -50,8 +50,13 @@
     }
 
     private void load(int seconds, PhaseLoad load) {
+        load(seconds, load, 1);
+    }
+
+    private void load(int seconds, PhaseLoad load, int processes) {
         for (int i = 0; i < 5 * seconds; i++) {
             mClock.advance(Duration.ofMillis(200));
+            mEstimator.observeProcesses(processes);
             mEstimator.observeLoad(load, SimulatedServers.TERMS, servers(18, 0), TARGET_LATENCY);
         }
     }
@@ -112,4 +117,33 @@
         load(12, new PhaseLoad(2, 0, 60, 10));
         assertThat(need().decode(), greaterThanOrEqualTo(2 * fast));
     }
+
+    /** Guards against giving servers back for the load of a part of the fleet. */
+    @Test
+    void loadOfAPartOfTheFleetLowersNothing() {
+        mEstimator.observeServers(servers(60, 0));
+        load(20, new PhaseLoad(12, 0, 300, 32), 83);
+        int settled = need().total();
+        load(300, new PhaseLoad(4, 0, 100, 32), 28);
+        assertThat(need().isSettled(), is(false));
+        assertThat(need().total(), is(settled));
+    }
+
+    /** Guards against never giving back again once some processes have ended for good. */
+    @Test
+    void processesThatEndedForGoodAreForgotten() {
+        load(20, new PhaseLoad(12, 0, 300, 32), 83);
+        int settled = need().total();
+        load(660, new PhaseLoad(4, 0, 100, 32), 50);
+        assertThat(need().isSettled(), is(true));
+        assertThat(need().total(), lessThan(settled));
+    }
+
+    /** Guards against a need that is held whenever a few processes restart. */
+    @Test
+    void restartOfAFewProcessesIsNoPartialLoad() {
+        load(20, new PhaseLoad(12, 0, 300, 32), 83);
+        load(20, new PhaseLoad(4, 0, 100, 32), 78);
+        assertThat(need().isSettled(), is(true));
+    }
 }
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/SimulatedServers.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/SimulatedServers.java
@@ -132,6 +132,7 @@
         }
         mLedger.ordered(order.pool(), order.count(), order.present(), mTerms.startTime());
         if (mLosesAnswers) {
+            mLedger.unanswered(order.pool());
             long late = mClock.nanoTime() + Duration.ofSeconds(6).toNanos();
             mLateOrders.add(new LateOrder(order.pool(), order.count(), late));
         } else {
