Servers of a domain that is taken away are replaced at once

The endpoint table does not say when they end, so the loss was not recognized, and servers ordered there half a second earlier counted as starting for 7 s. A pool now counts as taken away as well when none of its reclaimable servers stays.

ServerScalerTest.orderInADomainThatIsTakenAwayIsReplacedAtOnce replays it and failed before (no order).

--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ScaledService.java
@@ -22,6 +22,7 @@
 import org.sesamedeck.routing.scaling.ServerNeedEstimator;
 import org.sesamedeck.routing.scaling.ServerPlan;
 import org.sesamedeck.routing.scaling.ServerPlanner;
+import org.sesamedeck.routing.scaling.ServerPool;
 
 /**
  * What one process knows of a service whose servers can be ordered. Every process measures the load
@@ -39,7 +40,7 @@
     private ScalingTerms mTerms;
     private Duration mTargetLatency;
     private List<EndpointDescription> mEndpoints = List.of();
-    private Set<String> mReclaimed = Set.of();
+    private final Set<String> mReclaimed = new HashSet<>();
     private ServerCounts mCounts;
 
     /** A command to an engine whose effect the endpoint table may not show yet. */
@@ -81,16 +82,29 @@
                 endpoints.stream().filter(endpoint -> endpoint.service().equals(mName)).toList();
         mCounts = ServerCounts.of(mEndpoints, mName);
         mEstimator.observeServers(mCounts);
-        Set<String> reclaimed = new HashSet<>();
+        updateReclaimed();
+    }
+
+    /**
+     * Notices which pools the platform takes away. It takes all reclaimable servers of a domain at
+     * once, and not all of them say when they end. A single one that leaves may be replaced; if
+     * none stays, orders in their pool have lost their effect, too.
+     */
+    private void updateReclaimed() {
+        Set<String> leaving = new HashSet<>();
         for (EndpointDescription endpoint : mEndpoints) {
-            if (endpoint.isReclaimable() && endpoint.leavesWithin().isPresent()) {
-                reclaimed.add(endpoint.name());
-                if (!mReclaimed.contains(endpoint.name())) {
-                    mLedger.reclaimed(ServerCounts.poolOf(endpoint));
-                }
+            if (!endpoint.isReclaimable() || !endpoint.isLeaving()) {
+                continue;
+            }
+            leaving.add(endpoint.name());
+            ServerPool pool = ServerCounts.poolOf(endpoint);
+            boolean isTakenAway = endpoint.leavesWithin().isPresent() || mCounts.in(pool) == 0;
+            if (isTakenAway && !mReclaimed.contains(endpoint.name())) {
+                mReclaimed.add(endpoint.name());
+                mLedger.reclaimed(pool);
             }
         }
-        mReclaimed = reclaimed;
+        mReclaimed.retainAll(leaving);
     }
 
     /**
--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
@@ -187,6 +187,11 @@
         return mServices.containsKey(service);
     }
 
+    /** Returns the number of pools of a service that have refused orders or were taken away. */
+    int unavailablePools(String service) {
+        return mServices.get(service).ledger().unavailable().size();
+    }
+
     /** Replaces the list of endpoints. */
     public void updateEndpoints(List<EndpointDescription> endpoints) {
         mEndpoints = endpoints;
--- a/gateway/src/test/java/org/sesamedeck/gateway/scaling/ServerScalerTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/scaling/ServerScalerTest.java
@@ -327,4 +327,39 @@
         seconds(1);
         assertThat(mRoleRequests, is(List.of(EndpointRole.PREFILL)));
     }
+
+    /**
+     * Guards against counting on servers that were ordered in a domain whose reclaimable ones the
+     * platform takes away meanwhile, without saying for how long they stay.
+     */
+    @Test
+    void orderInADomainThatIsTakenAwayIsReplacedAtOnce() {
+        start();
+        seconds(1);
+        assertThat(mClient.mOrders, hasSize(3));
+        mClient.mOrders.clear();
+        List<EndpointDescription> servers = servers(6, 1);
+        servers.replaceAll(server -> server.isReclaimable() ? server.asLeaving() : server);
+        mScaler.updateEndpoints(servers);
+        seconds(1);
+        assertThat(mClient.mOrders, not(empty()));
+        assertThat(
+                mClient.mOrders.stream()
+                        .filter(ServerOrder::isReclaimable)
+                        .map(ServerOrder::failureDomain)
+                        .toList(),
+                not(hasItem("a")));
+    }
+
+    /** Guards against avoiding a domain of which a single server is replaced. */
+    @Test
+    void singleServerThatLeavesDoesNotEndOrdersInItsDomain() {
+        start();
+        seconds(1);
+        mClient.mOrders.clear();
+        List<EndpointDescription> servers = servers(6, 6);
+        servers.set(6, servers.get(6).asLeaving());
+        mScaler.updateEndpoints(servers);
+        assertThat(mScaler.unavailablePools("models"), is(0));
+    }
 }
