Changes that are seen only as a new list reach the processes that are told

A process that relies on others was not told of changes that the reading processes saw only in a list, after the store had lost its history. A list that differs from what was known now counts as a change up to its revision, so that the others read the store; one that does not differ costs them nothing. The datagrams are compressed: entries of the store resemble each other, and those of a dozen starting endpoints exceeded the 8 KB of a datagram.

FleetFreshnessTest.changeInLostHistoryIsKnownInTime and lostHistoryWithoutChangesIsReadByFewProcesses fail without the change.

--- a/gateway/src/main/java/org/sesamedeck/gateway/ChangeSharing.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/ChangeSharing.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -12,12 +13,14 @@
  * follower. Changes that are lost on the way are read from the store. Confined to one thread.
  */
 final class ChangeSharing {
-    /** Larger changes are read by each process: their datagrams would be lost in fragments. */
+    /** Larger datagrams are mostly lost in fragments, so each process reads what they tell. */
     private static final int MAX_BYTES = 8 * 1024;
 
     private final String mSelf;
     private final Function<String, Collection<String>> mRecipients;
     private final Transport mTransport;
+    private final AtomicLong mSent = new AtomicLong();
+    private final AtomicLong mReceived = new AtomicLong();
     private final Map<String, Long> mSentRevisions = new HashMap<>();
     private final Map<String, Consumer<SharedChanges>> mFollowers = new HashMap<>();
 
@@ -47,7 +50,7 @@
 
     /** Sends changes that this process has read. */
     void share(String kind, long baseRevision, long revision, byte[] source) {
-        if (source.length > 0 && source.length <= MAX_BYTES) {
+        if (source.length > 0 && source.length <= SharedChangesCodec.MAX_SOURCE_BYTES) {
             passOn(new SharedChanges(mSelf, kind, baseRevision, revision, source));
         }
     }
@@ -57,25 +60,37 @@
         if (!mFollowers.containsKey(changes.kind())) {
             return;
         }
+        mReceived.incrementAndGet();
         passOn(changes);
         mFollowers.get(changes.kind()).accept(changes);
     }
 
+    /** Adds the numbers of datagrams in the Prometheus text format; called from any thread. */
+    void write(MetricsText text) {
+        text.value("sesamedeck_shared_changes_sent_total", mSent.get());
+        text.value("sesamedeck_shared_changes_received_total", mReceived.get());
+    }
+
     private void passOn(SharedChanges changes) {
         if (changes.revision() <= mSentRevisions.getOrDefault(changes.kind(), 0L)) {
             return;
         }
         Collection<String> recipients = mRecipients.apply(changes.sender());
-        if (!recipients.isEmpty()) {
-            mSentRevisions.put(changes.kind(), changes.revision());
-            SharedChanges own =
-                    new SharedChanges(
-                            mSelf,
-                            changes.kind(),
-                            changes.baseRevision(),
-                            changes.revision(),
-                            changes.source());
-            mTransport.send(SharedChangesCodec.encode(own), recipients);
+        if (recipients.isEmpty()) {
+            return;
+        }
+        mSentRevisions.put(changes.kind(), changes.revision());
+        SharedChanges own =
+                new SharedChanges(
+                        mSelf,
+                        changes.kind(),
+                        changes.baseRevision(),
+                        changes.revision(),
+                        changes.source());
+        byte[] bytes = SharedChangesCodec.encode(own);
+        if (bytes.length <= MAX_BYTES) {
+            mSent.addAndGet(recipients.size());
+            mTransport.send(bytes, recipients);
         }
     }
 }
--- a/gateway/src/main/java/org/sesamedeck/gateway/Feed.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/Feed.java
@@ -27,8 +27,14 @@
      * @param items objects in order of their names
      * @param isTruncated whether more objects follow
      * @param revision store revision of the list
+     * @param changedRevision revision of the last change of the objects on the page
      */
-    record Page<T>(List<Item<T>> items, boolean isTruncated, long revision) {}
+    record Page<T>(List<Item<T>> items, boolean isTruncated, long revision, long changedRevision) {
+        /** Returns a page whose objects may have changed as late as the list was read. */
+        public Page(List<Item<T>> items, boolean isTruncated, long revision) {
+            this(items, isTruncated, revision, revision);
+        }
+    }
 
     /**
      * Changes since a revision.
--- a/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.core.SesamedeckException;
@@ -62,6 +65,8 @@
     private Duration mWatchWait = Duration.ZERO;
     private OptionalLong mToldRevision = OptionalLong.empty();
     private long mChangedRevision;
+    private final Set<String> mNames = new HashSet<>();
+    private boolean mIsListed;
     private boolean mIsClosed;
 
     /** Receives the objects of a feed and changes in the availability of the store. */
@@ -158,34 +163,43 @@
             watch(mWatchedRevision.getAsLong(), RETRY_WAIT);
         }
         if (mToldRevision.isPresent() && !mSchedule.isToldByOthers()) {
-            long revision = mToldRevision.getAsLong();
-            mToldRevision = OptionalLong.empty();
-            watch(revision, RETRY_WAIT);
+            readTold();
         }
         mTimers.schedule(CHECK_INTERVAL, this::checkWatch);
     }
 
+    /** Reads from the store what other processes have not told. */
+    private void readTold() {
+        long revision = mToldRevision.orElseThrow();
+        mToldRevision = OptionalLong.empty();
+        watch(revision, RETRY_WAIT);
+    }
+
     /**
-     * Takes changes over that another process has read, if they continue what is known here. Others
-     * are left to the check, which reads what is missing from the store.
+     * Takes changes over that another process has read, if they continue what is known here, and
+     * reads the store otherwise.
      */
     private void told(SharedChanges changes) {
-        boolean isNext =
-                mToldRevision.isPresent()
-                        && changes.baseRevision() <= mToldRevision.getAsLong()
-                        && changes.revision() > mToldRevision.getAsLong();
-        if (mIsClosed || !isNext) {
+        boolean isNews =
+                mToldRevision.isPresent() && changes.revision() > mToldRevision.getAsLong();
+        if (mIsClosed || !isNews) {
+            return;
+        }
+        if (changes.baseRevision() > mToldRevision.getAsLong()) {
+            readTold();
             return;
         }
         Feed.Changes<T> decoded;
         try {
             decoded = mFeed.decode(changes.source(), changes.revision());
         } catch (SesamedeckException malformed) {
-            return; // The changes are read from the store.
+            readTold();
+            return;
         }
         mToldRevision = OptionalLong.of(changes.revision());
         mChangedRevision = changes.revision();
         mSchedule.applied(changes.revision());
+        updateNames(decoded.items());
         deliver(() -> mListener.changed(decoded.items()));
     }
 
@@ -216,13 +230,44 @@
                                 return;
                             }
                             succeeded();
-                            mChangedRevision = revision;
-                            mSchedule.confirmed(revision, 0);
-                            deliver(() -> mListener.listed(collected));
+                            boolean isPaged = firstRevision.isPresent();
+                            listed(
+                                    collected,
+                                    revision,
+                                    isPaged ? revision : page.changedRevision());
                             watch(revision);
                         });
     }
 
+    /**
+     * Records a list. One that follows lost history may show changes that nobody has seen as such.
+     * Other processes, to which these can't be passed on, have to read them, too.
+     *
+     * @param changedRevision revision up to which the listed objects may have changed
+     */
+    private void listed(List<Feed.Item<T>> items, long revision, long changedRevision) {
+        Set<String> names = items.stream().map(Feed.Item::name).collect(Collectors.toSet());
+        boolean isUnchanged = changedRevision <= mChangedRevision && names.equals(mNames);
+        if (!isUnchanged) {
+            mChangedRevision = revision;
+        }
+        mSchedule.confirmed(revision, isUnchanged || !mIsListed ? 0 : revision);
+        mIsListed = true;
+        mNames.clear();
+        mNames.addAll(names);
+        deliver(() -> mListener.listed(items));
+    }
+
+    private void updateNames(List<Feed.Item<T>> items) {
+        for (Feed.Item<T> item : items) {
+            if (item.isDeleted()) {
+                mNames.remove(item.name());
+            } else {
+                mNames.add(item.name());
+            }
+        }
+    }
+
     /** Returns the name after which the next page begins; an entry may have none. */
     private static <T> Optional<String> lastName(List<Feed.Item<T>> items) {
         return items.stream()
@@ -275,6 +320,7 @@
     private void changed(Feed.Changes<T> changes) {
         long base = mChangedRevision;
         mChangedRevision = changes.changedRevision();
+        updateNames(changes.items());
         deliver(() -> mListener.changed(changes.items()));
         mSchedule.share(base, changes.changedRevision(), changes.source());
         if (mSchedule.isToldByOthers()) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -395,6 +395,7 @@
         text.value("sesamedeck_endpoints_held_off", mRouter.heldEndpoints());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
         mServerScaler.ifPresent(scaler -> scaler.write(text));
+        mPeerExchange.write(text);
         text.value("sesamedeck_log_requests_sampled_out_total", mJsonLog.sampledOut());
         mDuties.ifPresent(duties -> duties.write(text));
         return text.toString();
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -148,6 +148,11 @@
         return mExchange.heardProcesses();
     }
 
+    /** Adds figures of the exchange in the Prometheus text format; called from any thread. */
+    void write(MetricsText text) {
+        mChangeSharing.write(text);
+    }
+
     private void exchangeLoad() {
         mExchange.updateStoreProgress(mExchange.isFullMesh() ? List.of() : mProgress.toTell());
         mExchange.round(mRouter.ownLoad(), mRouter.takePrefixUpdates()).forEach(this::send);
--- a/gateway/src/main/java/org/sesamedeck/gateway/SharedChangesCodec.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/SharedChangesCodec.java
@@ -2,8 +2,12 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
 import org.sesamedeck.wire.generated.SharedChangesDatagram;
 
 /**
@@ -11,7 +15,11 @@
  * begin with a byte with which neither a protobuf message nor a message about the duties begins.
  */
 final class SharedChangesCodec {
+    /** Larger changes are not passed on. */
+    static final int MAX_SOURCE_BYTES = 64 * 1024;
+
     private static final byte MARK = 1;
+    private static final int BUFFER_BYTES = 1_024;
 
     private SharedChangesCodec() {}
 
@@ -27,7 +35,7 @@
                         .setKind(changes.kind())
                         .setBaseRevision(changes.baseRevision())
                         .setRevision(changes.revision())
-                        .setChanges(ByteString.copyFrom(changes.source()))
+                        .setChanges(ByteString.copyFrom(deflate(changes.source())))
                         .build()
                         .toByteArray();
         byte[] bytes = new byte[body.length + 1];
@@ -36,6 +44,38 @@
         return bytes;
     }
 
+    /** Compresses the text of the store, whose entries resemble each other. */
+    private static byte[] deflate(byte[] source) {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        try {
+            deflater.setInput(source);
+            deflater.finish();
+            ByteArrayOutputStream compressed = new ByteArrayOutputStream();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!deflater.finished()) {
+                compressed.write(buffer, 0, deflater.deflate(buffer));
+            }
+            return compressed.toByteArray();
+        } finally {
+            deflater.end();
+        }
+    }
+
+    private static byte[] inflate(byte[] compressed) throws DataFormatException {
+        Inflater inflater = new Inflater();
+        try {
+            inflater.setInput(compressed);
+            byte[] source = new byte[MAX_SOURCE_BYTES];
+            int length = inflater.inflate(source);
+            if (!inflater.finished()) {
+                throw new DataFormatException("changes are truncated or too large");
+            }
+            return Arrays.copyOf(source, length);
+        } finally {
+            inflater.end();
+        }
+    }
+
     /** Returns the changes; empty for bytes of unrelated senders. */
     static Optional<SharedChanges> decode(byte[] bytes) {
         if (!isSharedChanges(bytes)) {
@@ -50,8 +90,8 @@
                             datagram.getKind(),
                             datagram.getBaseRevision(),
                             datagram.getRevision(),
-                            datagram.getChanges().toByteArray()));
-        } catch (InvalidProtocolBufferException malformed) {
+                            inflate(datagram.getChanges().toByteArray())));
+        } catch (InvalidProtocolBufferException | DataFormatException malformed) {
             return Optional.empty();
         }
     }
--- a/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
@@ -139,12 +139,19 @@
 
         @Override
         public void listed(List<Feed.Item<String>> items) {
+            mKnown.clear();
             changed(items);
         }
 
         @Override
         public void changed(List<Feed.Item<String>> items) {
-            items.forEach(item -> mKnown.add(item.name()));
+            for (Feed.Item<String> item : items) {
+                if (item.isDeleted()) {
+                    mKnown.remove(item.name());
+                } else {
+                    mKnown.add(item.name());
+                }
+            }
         }
 
         @Override
@@ -301,4 +308,41 @@
         mScheduler.advance(Duration.ofMillis(2_000));
         assertThat(mProcesses.stream().map(process -> process.mOutages).toList(), everyItem(is(1)));
     }
+
+    /** Guards against changes that the reading processes see only as a new list. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void changeInLostHistoryIsKnownInTime(boolean isRemoval) {
+        mIsSharing = true;
+        mStore.put("old", "value");
+        startFleet(0);
+        if (isRemoval) {
+            mStore.remove("old");
+        } else {
+            mStore.put("new", "value");
+        }
+        mStore.forgetHistory();
+        mScheduler.advance(BOUND);
+        assertThat(
+                mProcesses.stream().map(process -> process.mKnown.contains("old")).toList(),
+                everyItem(is(!isRemoval)));
+        assertThat(
+                mProcesses.stream().map(process -> process.mKnown.contains("new")).toList(),
+                everyItem(is(!isRemoval)));
+    }
+
+    /** Guards against a call of each process when history is lost and nothing has changed. */
+    @Test
+    void lostHistoryWithoutChangesIsReadByFewProcesses() {
+        mIsSharing = true;
+        startFleet(0);
+        mStore.put("new", "value");
+        mScheduler.advance(Duration.ofSeconds(2));
+        int before = mStore.calls();
+        for (int i = 0; i < 5; i++) {
+            mStore.forgetHistory();
+            mScheduler.advance(Duration.ofSeconds(2));
+        }
+        assertThat(mStore.calls() - before, lessThan(10 * 3 * SHORT_WAITS));
+    }
 }
--- a/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
@@ -31,6 +31,8 @@
     private boolean mIsSilent;
     private boolean mIsRefusing;
     private int mCalls;
+    private int mFirstRevision;
+    private long mChangedRevision;
 
     /** A watch that waits; a lost one gets no answer. */
     private final class Watch {
@@ -44,7 +46,10 @@
 
         void answer() {
             List<Item<T>> changes = mChanges.subList((int) mRevision, mChanges.size());
-            if (!mIsLost) {
+            if (!mIsLost && mRevision < mFirstRevision) {
+                mWatches.remove(this);
+                mAnswer.complete(new Changes<>(List.of(), mRevision, true));
+            } else if (!mIsLost) {
                 mWatches.remove(this);
                 int last = changes.isEmpty() ? 0 : mChanges.size();
                 byte[] source = ByteBuffer.allocate(Long.BYTES).putLong(mRevision).array();
@@ -86,6 +91,7 @@
 
     private void change(Item<T> item) {
         mChanges.add(item);
+        mChangedRevision = item.isDeleted() ? mChangedRevision : mChanges.size();
         List.copyOf(mWatches).forEach(Watch::answerIfChanged);
     }
 
@@ -95,6 +101,11 @@
         silenceConnections();
     }
 
+    /** Forgets the changes so far; what has not been answered yet gets no changes. */
+    void forgetHistory() {
+        mFirstRevision = mChanges.size();
+    }
+
     /** From now on each call is answered after this time. */
     void setResponseTime(Duration time) {
         mResponseTime = time;
@@ -160,7 +171,7 @@
     private Page<T> page() {
         List<Item<T>> items = new ArrayList<>();
         mObjects.forEach((name, value) -> items.add(new Item<>(name, Optional.of(value), false)));
-        return new Page<>(items, false, mChanges.size());
+        return new Page<>(items, false, mChanges.size(), mChangedRevision);
     }
 
     @Override
