Requests that run at most once avoid endpoints that lose requests

Cause: a circuit breaker opens after five failures in a process. In a fleet, each process sends few requests to one endpoint, so hardly any breaker opened while the fleet lost nearly every request.

One loss in a process, or losses in two others, told in the load messages, now keep requests that could not be repeated away from an endpoint, unless more than half of a service's endpoints are suspected. Silence counts as a loss.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -22,6 +22,7 @@
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.EndpointRole;
+import org.sesamedeck.routing.ExclusionCounts;
 import org.sesamedeck.routing.quarantine.PartQuarantine;
 
 /**
@@ -376,8 +377,10 @@
                 "sesamedeck_caller_connections_refused_total", mCallerServer.connectionsRefused());
         text.value("sesamedeck_callers_reclaimed_total", mCallerServer.callersReclaimed());
         text.value("sesamedeck_endpoint_connections_total", mEndpointClient.connectionsOpened());
-        text.value("sesamedeck_endpoints_stated_leaving", mRouter.statedLeavingEndpoints());
-        text.value("sesamedeck_endpoints_held_off", mRouter.heldEndpoints());
+        ExclusionCounts excluded = mRouter.exclusionCounts();
+        text.value("sesamedeck_endpoints_stated_leaving", excluded.leaving());
+        text.value("sesamedeck_endpoints_held_off", excluded.held());
+        text.value("sesamedeck_endpoints_suspected", excluded.suspected());
         text.value("sesamedeck_quarantined_parts", mQuarantine.quarantinedParts().size());
         AccountMetrics.write(text, mRequestHandler.accountShares());
         mServerScaler.ifPresent(scaler -> scaler.write(text));
--- a/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
@@ -43,7 +43,8 @@
                             .setEndpoint(load.endpoint())
                             .setWaitingMicros(load.waitingNanos() / NANOS_PER_MICRO)
                             .setRunning(load.running())
-                            .setTokens(load.tokens()));
+                            .setTokens(load.tokens())
+                            .setSuspecting(load.suspecting()));
         }
         for (PrefixUpdate update : message.prefixUpdates()) {
             share.addPrefixes(
@@ -98,7 +99,8 @@
                             endpoint.getEndpoint(),
                             endpoint.getWaitingMicros() * NANOS_PER_MICRO,
                             endpoint.getRunning(),
-                            endpoint.getTokens()));
+                            endpoint.getTokens(),
+                            endpoint.getSuspecting()));
         }
         List<PrefixUpdate> updates = new ArrayList<>(share.getPrefixesCount());
         for (PrefixShare prefix : share.getPrefixesList()) {
--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -137,6 +137,7 @@
             return;
         }
         mHead = Optional.of(head);
+        mAssignment.responded();
         mPromptParts.responded(endpoint().name(), mSentNanos);
         if (!head.notRun()) {
             plainRequestBegan();
@@ -282,6 +283,7 @@
     @Override
     public void broken(String cause) {
         if (!mIsOver) {
+            mAssignment.lost();
             endAsLost(cause);
         }
     }
@@ -294,6 +296,7 @@
         if (!mIsAnswerReported) {
             mPromptParts.interrupted(endpoint().name(), mHasEvents);
         }
+        mAssignment.lost();
         endAsLost(cause);
     }
 
--- a/request/src/main/java/org/sesamedeck/request/AttemptHistory.java
+++ b/request/src/main/java/org/sesamedeck/request/AttemptHistory.java
@@ -48,6 +48,16 @@
         return mRuns < route.maxAttempts() && mRejections <= RetryPolicy.MAX_REJECTIONS;
     }
 
+    /**
+     * Returns whether the request can be sent again if the next attempt is lost. A prompt can be
+     * processed again, but the caller would wait for that too long.
+     */
+    boolean isRepeatable(Route route, RequestPhase phase) {
+        return route.kind().isRepeatable()
+                && phase == RequestPhase.WHOLE
+                && mRuns + 1 < route.maxAttempts();
+    }
+
     void sent(RequestPhase phase) {
         if (phase == RequestPhase.PREFILL) {
             mPrefillAttempts++;
--- a/routing/src/main/java/org/sesamedeck/routing/Assignment.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Assignment.java
@@ -11,6 +11,9 @@
     /** Returns the chosen endpoint. */
     EndpointDescription endpoint();
 
+    /** Records that the head of a response arrived. */
+    default void responded() {}
+
     /** Records that the prompt was processed and the first token arrived. */
     void firstToken();
 
@@ -27,6 +30,11 @@
      */
     void failed(Optional<Duration> retryAfter);
 
+    /** Records that the request was sent and got no answer, or only a part of one. */
+    default void lost() {
+        failed(Optional.empty());
+    }
+
     /**
      * Records that the caller disconnected; this is neither a success nor a failure of the
      * endpoint.
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -43,6 +43,7 @@
     private final RouterSettings mSettings;
     private final RendezvousSubset mSubset;
     private final SplittableRandom mRandom;
+    private final SplittableRandom mSpreads;
     private final PrefixIndex mPrefixes = PrefixIndex.create(PREFIX_CAPACITY);
     private final PrefixUpdateBuffer mPrefixUpdates = new PrefixUpdateBuffer();
     private final EndpointExclusions mExclusions;
@@ -66,6 +67,7 @@
         mSettings = settings;
         mSubset = RendezvousSubset.of(name, settings);
         mRandom = new SplittableRandom(seed);
+        mSpreads = new SplittableRandom(~seed);
         mLocality = LocalityRule.of(clock, settings, seed);
         mExclusions =
                 new EndpointExclusions(
@@ -249,7 +251,8 @@
                             endpoint,
                             mServiceTimes.computeIfAbsent(
                                     endpoint.service(), name -> new ServiceTimeModel()),
-                            mSpeeds.create());
+                            mSpeeds.create(),
+                            new EndpointSuspicion(mClock, mSpreads.nextDouble()));
             if (hasStatedLeaving) {
                 state.statedLeaving();
             }
@@ -307,16 +310,14 @@
         return mExclusions.timeUntilUsable(mTable.candidates(profile.target()));
     }
 
-    /** Returns the number of listed endpoints that have stated that they are leaving. */
-    public long statedLeavingEndpoints() {
-        return mTable.states().values().stream()
-                .filter(state -> mExclusions.hasStatedLeaving(state.description()))
-                .count();
+    /** Returns how many endpoints are left out at the moment, by reason. */
+    public ExclusionCounts exclusionCounts() {
+        return ExclusionCounts.of(mTable.states().values(), mExclusions);
     }
 
-    /** Returns the number of endpoints that have asked for no requests and are held off now. */
-    public long heldEndpoints() {
-        return mTable.states().values().stream().filter(state -> state.hold().isActive()).count();
+    @Override
+    public Set<String> suspected(RequestProfile profile) {
+        return LossAvoidance.suspected(mTable.candidates(profile.target()));
     }
 
     @Override
@@ -324,7 +325,7 @@
         List<EndpointLoad> loads = new ArrayList<>();
         for (EndpointState state : mTable.states().values()) {
             EndpointLoad load = state.ownLoad();
-            if (load.running() > 0) {
+            if (load.running() > 0 || load.suspecting() > 0) {
                 loads.add(load);
             }
         }
@@ -345,9 +346,12 @@
     public void updatePeerLoad(Map<String, EndpointLoad> loads) {
         mTable.states()
                 .forEach(
-                        (name, state) ->
-                                state.updatePeerLoad(
-                                        loads.getOrDefault(name, new EndpointLoad(name, 0, 0))));
+                        (name, state) -> {
+                            EndpointLoad load =
+                                    loads.getOrDefault(name, new EndpointLoad(name, 0, 0));
+                            state.updatePeerLoad(load);
+                            state.suspicion().updatePeers(load.suspecting(), mProcesses);
+                        });
         mLocality.update(mTable);
     }
 
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointLoad.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointLoad.java
@@ -7,8 +7,15 @@
  * @param waitingNanos engine time of prompts without a first token yet, in nanoseconds
  * @param running requests in progress
  * @param tokens prompt and expected output tokens of the requests in progress
+ * @param suspecting processes that suspect the endpoint of losing requests
  */
-public record EndpointLoad(String endpoint, long waitingNanos, int running, long tokens) {
+public record EndpointLoad(
+        String endpoint, long waitingNanos, int running, long tokens, int suspecting) {
+    /** Creates the load of an endpoint that is not suspected. */
+    public EndpointLoad(String endpoint, long waitingNanos, int running, long tokens) {
+        this(endpoint, waitingNanos, running, tokens, 0);
+    }
+
     /** Creates a load whose requests have no tokens. */
     public EndpointLoad(String endpoint, long waitingNanos, int running) {
         this(endpoint, waitingNanos, running, 0);
@@ -20,6 +27,7 @@
                 endpoint,
                 waitingNanos + other.waitingNanos,
                 running + other.running,
-                tokens + other.tokens);
+                tokens + other.tokens,
+                suspecting + other.suspecting);
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -41,6 +41,7 @@
     private final EngineTraits mTraits;
     private final CircuitBreaker mBreaker;
     private final EndpointHold mHold;
+    private final EndpointSuspicion mSuspicion;
     private final ServiceTimeModel mServiceTime;
     private final SpeedEstimate mSpeed;
     private final ArrayDeque<RoutedAssignment> mAssignmentsSinceReport = new ArrayDeque<>();
@@ -78,10 +79,12 @@
             RouterSettings settings,
             EndpointDescription description,
             ServiceTimeModel serviceTime,
-            SpeedEstimate speed) {
+            SpeedEstimate speed,
+            EndpointSuspicion suspicion) {
         mClock = clock;
         mBreaker = CircuitBreaker.create(clock);
         mHold = new EndpointHold(clock);
+        mSuspicion = suspicion;
         mTraits = settings.traits();
         mDescription = description;
         mSpeed = speed;
@@ -134,6 +137,11 @@
         return mHold;
     }
 
+    /** Returns whether the endpoint is suspected to lose requests. */
+    EndpointSuspicion suspicion() {
+        return mSuspicion;
+    }
+
     /** Returns the time until a request may be sent; 0 when it may be sent now or is unknown. */
     long nanosUntilUsable() {
         return Math.max(0, Math.max(mHold.remainingNanos(), mBreaker.nanosUntilProbe()));
@@ -179,7 +187,8 @@
                 mDescription.name(),
                 (long) Math.max(0, mOwnUnstartedNanos),
                 mOwnRunning,
-                mOwnTokens);
+                mOwnTokens,
+                mSuspicion.hasEvidence() ? 1 : 0);
     }
 
     /** Returns the tokens of all known requests that the endpoint holds. */
--- a/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
@@ -34,6 +34,7 @@
     private boolean mIsCountedSinceReport = true;
     private boolean mHasOutcome;
     private boolean mIsClosed;
+    private boolean mIsAwaited;
     private boolean mHasQueuedPrefixUpdate;
     private long mFirstTokenAtNanos;
     private double mPaceAtFirstToken = 1;
@@ -66,6 +67,23 @@
         mAssignedAtNanos = clock.nanoTime();
         mStartsAtOnce = endpoint.startsAtOnce();
         endpoint.assigned(this);
+        if (phase != RequestPhase.DECODE) {
+            mIsAwaited = true;
+            endpoint.suspicion().awaits(endpoint.expectedWaitNanos(1) + mPromptNanos);
+        }
+    }
+
+    @Override
+    public synchronized void responded() {
+        mEndpoint.suspicion().responded();
+        stopAwaiting();
+    }
+
+    private void stopAwaiting() {
+        if (mIsAwaited) {
+            mIsAwaited = false;
+            mEndpoint.suspicion().awaitsNoLonger();
+        }
     }
 
     double promptNanos() {
@@ -118,6 +136,7 @@
             return;
         }
         mFirstTokenAtNanos = mClock.nanoTime();
+        responded();
         mPaceAtFirstToken = mEndpoint.pace();
         mEndpoint.started(this);
         recordPrefix();
@@ -125,6 +144,7 @@
 
     @Override
     public void progressed(int tokens, long nanos) {
+        mEndpoint.suspicion().responded();
         mEndpoint.learnTokenInterval(tokens, nanos);
     }
 
@@ -135,6 +155,7 @@
         }
         mHasOutcome = true;
         mEndpoint.breaker().succeeded();
+        responded();
         recordPrefix();
         long now = mClock.nanoTime();
         long first = mFirstTokenAtNanos == 0 ? now : mFirstTokenAtNanos;
@@ -181,6 +202,15 @@
         }
     }
 
+    @Override
+    public synchronized void lost() {
+        if (!mHasOutcome) {
+            mHasOutcome = true;
+            mEndpoint.breaker().failed(Optional.empty());
+            mEndpoint.suspicion().lost();
+        }
+    }
+
     @Override
     public synchronized void cancelled() {
         if (!mHasOutcome) {
@@ -196,6 +226,7 @@
         }
         mIsClosed = true;
         cancelled();
+        stopAwaiting();
         mEndpoint.closed(this);
     }
 
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -108,7 +108,15 @@
         return false;
     }
 
-    /** Returns the load from this process at each endpoint that has any. */
+    /**
+     * Returns the names of the endpoints of the request's target that are suspected to lose
+     * requests; see {@link LossAvoidance}.
+     */
+    default Set<String> suspected(RequestProfile profile) {
+        return Set.of();
+    }
+
+    /** Returns the load from this process at each endpoint that has any or is suspected by it. */
     default List<EndpointLoad> ownLoad() {
         return List.of();
     }
