Requests of accounts far over their share are refused first where endpoints are full

What callers saw: where the queues of endpoints are full, each further request is rejected by its arrival alone. One account at ten times its load took as large a part of the places as it sent, at engines and at plain services; ranks at engines do not help, since a full queue rejects before it orders.

Cause: the rank had no effect on what is sent. Refusals without a known time until an endpoint is usable had one Retry-After for all; they are spread as the others are.

--- a/request/src/main/java/org/sesamedeck/request/Attempt.java
+++ b/request/src/main/java/org/sesamedeck/request/Attempt.java
@@ -141,6 +141,7 @@
         if (!head.notRun()) {
             plainRequestBegan();
         }
+        mHandler.pressure(endpoint().service()).record(head.isRejectedForLoad());
         mSigns.received(endpoint(), head);
     }
 
--- a/request/src/main/java/org/sesamedeck/request/RequestAccess.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestAccess.java
@@ -3,6 +3,7 @@
 import java.util.EnumSet;
 import java.util.Optional;
 import java.util.Set;
+import org.sesamedeck.core.ResultCode;
 
 /**
  * Whether a request may run under the configuration in force, and for which client account.
@@ -97,6 +98,15 @@
         }
     }
 
+    /** Returns the refusal of a request that may not run under the configuration in force. */
+    Optional<ErrorResponse> refusal() {
+        return isAllowed()
+                ? Optional.empty()
+                : Optional.of(
+                        new ErrorResponse(
+                                ResultCode.UNAUTHENTICATED, refusalCause(), Optional.empty()));
+    }
+
     /** Returns why the request may not run, without the key. */
     String refusalCause() {
         return mKey.isPresent()
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -42,6 +42,7 @@
     private Optional<ServingConfiguration> mConfiguration = Optional.empty();
     private final ResponseLengths mResponseLengths = new ResponseLengths();
     private final Map<String, RequestQueue> mRequestQueues = new HashMap<>();
+    private final Map<String, ServicePressure> mPressures = new HashMap<>();
     private final ResponseMemory mResponseMemory;
     private double mRetryBurst;
     private final Set<RequestLifecycle> mActiveRequests = new LinkedHashSet<>();
@@ -281,7 +282,13 @@
         return mRouter.timeUntilUsable(accepted.profile())
                 .filter(wait -> wait.compareTo(mSettings.retryAfter()) > 0)
                 .map(wait -> RetryAfterDelay.notBefore(wait, request.identifier()))
-                .or(this::defaultRetryAfter);
+                .or(
+                        () ->
+                                Optional.of(
+                                        RetryAfterDelay.of(
+                                                mSettings.retryAfter(),
+                                                Duration.ZERO,
+                                                request.identifier())));
     }
 
     /** Returns the retry-after delay for a request that waited for decode capacity in vain. */
@@ -290,6 +297,27 @@
                 .retryAfter(request.access().rank(), mSettings.retryAfter(), identifier);
     }
 
+    /**
+     * Returns the refusal of a request that comes after those of other accounts while the endpoints
+     * of its service are full: it would take the place of one of them, or be rejected.
+     */
+    Optional<ErrorResponse> refusalOfSetBack(AcceptedRequest accepted, CallerRequest request) {
+        boolean isRefused =
+                pressure(accepted.service()).isFull() && accepted.access().rank().isSetBack();
+        return isRefused
+                ? Optional.of(
+                        new ErrorResponse(
+                                ResultCode.OVERLOADED,
+                                "endpoints have room only for accounts within their share",
+                                overloadRetryAfter(accepted, request.identifier())))
+                : Optional.empty();
+    }
+
+    /** Returns whether endpoints of the service reject requests. */
+    ServicePressure pressure(String service) {
+        return mPressures.computeIfAbsent(service, name -> new ServicePressure(mClock));
+    }
+
     /** Records the work of a call that is sent now as used by the account of its request. */
     void workSent(AcceptedRequest request, RequestPhase phase) {
         boolean isPromptProcessed = phase == RequestPhase.DECODE;
--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -72,7 +72,7 @@
     void start() {
         Duration remainingTime = Duration.ofNanos(mDeadline.remainingNanos());
         mTimer = Optional.of(mHandler.timers().schedule(remainingTime, this::expire));
-        if (refuseIfQuarantined()) {
+        if (refuseIfQuarantined() || endIf(mHandler.refusalOfSetBack(accepted(), mRequest))) {
             return;
         }
         if (accepted().profile().expectedOutputTokens() <= SHORT_RESPONSE_EVENTS) {
@@ -127,7 +127,7 @@
             expire();
             return;
         }
-        if (refuseIfUnauthenticated() || refuseIfQuarantined()) {
+        if (endIf(accepted().access().refusal()) || refuseIfQuarantined()) {
             return;
         }
         RequestProfile profile = accepted().profile();
@@ -346,22 +346,18 @@
     }
 
     /**
-     * Ends the request if its key has been withdrawn since it was accepted; returns whether it has
-     * ended. Calls in progress go on, since their endpoint has begun to work for the account.
+     * Ends the request if there is a refusal; returns whether it has ended. Calls in progress go on
+     * without such a check, since their endpoint has begun to work for the account.
      */
-    private boolean refuseIfUnauthenticated() {
-        RequestAccess access = accepted().access();
-        boolean isAllowed = access.isAllowed();
-        if (!isAllowed) {
-            endWithoutSending(ResultCode.UNAUTHENTICATED, access.refusalCause(), Optional.empty());
-        }
-        return !isAllowed;
+    private boolean endIf(Optional<ErrorResponse> refusal) {
+        refusal.ifPresent(it -> endWithoutSending(it.code(), it.message(), it.retryAfter()));
+        return refusal.isPresent();
     }
 
     /** Ends the request if it waits and the configuration in force no longer allows it. */
     void configurationChanged() {
         if (!mIsOver && mAttempt.isEmpty()) {
-            refuseIfUnauthenticated();
+            endIf(accepted().access().refusal());
         }
     }
 
--- a/request/src/main/java/org/sesamedeck/request/ResponseHead.java
+++ b/request/src/main/java/org/sesamedeck/request/ResponseHead.java
@@ -22,6 +22,14 @@
         boolean endsWithConnection,
         EndpointSigns signs,
         Object transportHead) {
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    /** Returns whether the endpoint rejected the request because it has no room now. */
+    boolean isRejectedForLoad() {
+        return notRun && (status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS);
+    }
+
     /** Returns whether the status is a success. */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
