--- a/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
@@ -1,6 +1,7 @@
 package org.sesamedeck.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -12,13 +13,17 @@
 import java.net.InetAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.core.SystemClock;
+import org.sesamedeck.routing.AccountShares;
+import org.sesamedeck.routing.AccountUsage;
 import org.sesamedeck.routing.DefaultRouter;
 import org.sesamedeck.routing.EndpointDescription;
 import org.sesamedeck.routing.EndpointLoad;
@@ -27,6 +32,7 @@
 import org.sesamedeck.routing.LoadScope;
 import org.sesamedeck.routing.PrefixUpdate;
 import org.sesamedeck.routing.RouterSettings;
+import org.sesamedeck.routing.UsageSummary;
 import org.sesamedeck.routing.quarantine.PartQuarantine;
 import org.sesamedeck.routing.quarantine.QuarantineListener;
 
@@ -105,6 +111,86 @@
         }
     }
 
+    /** Guards against usage of client accounts that is measured but neither sent nor taken in. */
+    @Test
+    void usageOfAccountsIsExchanged() throws Exception {
+        EventLoop loop =
+                (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        HostAddress address = HostAddress.of("127.0.0.1", freePort());
+        AccountShares shares = AccountShares.create(SystemClock.create());
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+                PeerExchange exchange = exchange(loop, address)) {
+            exchange.setAccountShares(shares);
+            exchange.changed(
+                    List.of(
+                            new Feed.Item<>(
+                                    "node-b",
+                                    Optional.of(HostAddress.of("127.0.0.1", peer.getLocalPort())),
+                                    false)));
+            exchange.start();
+            shares.record("library", 5_000);
+            assertThat(receivedUsage(peer).get(0).account(), is("library"));
+            send(peer, address, new AccountUsage("deck", 700));
+            long until = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+            while (!accounts(shares).contains("deck") && System.nanoTime() < until) {
+                Thread.sleep(50);
+            }
+            assertThat(accounts(shares), hasItem("deck"));
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static List<String> accounts(AccountShares shares) {
+        return shares.total().heaviest().stream().map(AccountUsage::account).toList();
+    }
+
+    /** Returns the usage in the first message that carries some. */
+    private static List<AccountUsage> receivedUsage(DatagramSocket peer) throws Exception {
+        while (true) {
+            DatagramPacket packet = new DatagramPacket(new byte[4_096], 4_096);
+            peer.receive(packet);
+            byte[] bytes = Arrays.copyOf(packet.getData(), packet.getLength());
+            Optional<UsageSummary> usage =
+                    LoadMessageCodec.decode(bytes).flatMap(LoadMessage::usage);
+            if (usage.isPresent()) {
+                return usage.get().heaviest();
+            }
+        }
+    }
+
+    private static void send(DatagramSocket peer, HostAddress to, AccountUsage usage)
+            throws Exception {
+        byte[] bytes =
+                LoadMessageCodec.encode(
+                        new LoadMessage(
+                                "node-b",
+                                7,
+                                1,
+                                LoadScope.PROCESS,
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                Optional.of(UsageSummary.of(List.of(usage)))));
+        peer.send(
+                new DatagramPacket(
+                        bytes, bytes.length, InetAddress.getByName("127.0.0.1"), to.port()));
+    }
+
+    private static PeerExchange exchange(EventLoop loop, HostAddress address) {
+        return new PeerExchange(
+                loop,
+                SystemClock.create(),
+                DefaultRouter.create(
+                        SystemClock.create(), RouterSettings.defaults("east"), "node-a", 1),
+                PartQuarantine.create(
+                        SystemClock.create(), "node-a", QuarantineListener.ignoring()),
+                "node-a",
+                address,
+                1,
+                count -> {});
+    }
+
     private static EndpointDescription engine(String name) {
         return new EndpointDescription(
                 name,
