Few endpoints are weighed with their region; KV transfers cost by token

Domains with less than four endpoints are now weighed together with their region, a region with less is not weighed, and the transfer costs by prompt token.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewaySettings.java
@@ -279,8 +279,8 @@
                     LOCALITY,
                     "domain-transfer-time",
                     SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(10)),
-                    "15ms",
-                    "Additional time to transfer the KV cache of a prompt to another"
+                    "2ms",
+                    "Additional time to transfer the KV cache of 1,000 prompt tokens to another"
                             + " failure domain of the region.");
 
     /** Additional time of a KV cache to another region. */
@@ -289,8 +289,9 @@
                     LOCALITY,
                     "region-transfer-time",
                     SettingTypes.duration(Duration.ZERO, Duration.ofSeconds(60)),
-                    "135ms",
-                    "Additional time to transfer the KV cache of a prompt to another" + " region.");
+                    "15ms",
+                    "Additional time to transfer the KV cache of 1,000 prompt tokens to another"
+                            + " region.");
 
     /** Wait from which on a failure domain takes no requests of others. */
     public static final Setting<Duration> FULL_WAIT =
--- a/gateway/src/main/java/org/sesamedeck/gateway/RouterSettingsReader.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/RouterSettingsReader.java
@@ -14,6 +14,8 @@
     /** Size of a prompt token on the wire, in bytes. */
     private static final double BYTES_PER_TOKEN = 1;
 
+    private static final double TOKENS_PER_TRANSFER_TIME = 1_000;
+
     private RouterSettingsReader() {}
 
     static RouterSettings read(Settings settings) {
@@ -63,6 +65,6 @@
         return new LinkCost(
                 settings.get(delay).toNanos(),
                 settings.get(kilobyte).toNanos(),
-                settings.get(transfer).toNanos());
+                settings.get(transfer).toNanos() / TOKENS_PER_TRANSFER_TIME);
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -30,7 +30,7 @@
     private final Set<String> mExcluded;
     private final Optional<LocalitySettings> mLocality;
     private Set<String> mDomains = Set.of();
-    private Optional<String> mHomeDomain = Optional.empty();
+    private Optional<Set<String>> mHomeDomains = Optional.empty();
     private double mSpreadNanos;
     private long mSpreadBits;
     private double mFetchableFraction;
@@ -68,11 +68,11 @@
     }
 
     /**
-     * Compares the endpoints of one failure domain apart from the others from now on, instead of
+     * Compares the endpoints of some failure domains apart from the others from now on, instead of
      * those of the local region.
      */
-    void compareApart(String failureDomain) {
-        mHomeDomain = Optional.of(failureDomain);
+    void compareApart(Set<String> failureDomains) {
+        mHomeDomains = Optional.of(failureDomains);
     }
 
     /**
@@ -157,7 +157,7 @@
     }
 
     private int candidates() {
-        return mHomeDomain.isPresent()
+        return mHomeDomains.isPresent()
                 ? Math.min(DOMAIN_SAMPLE_SIZE, mSettings.candidates())
                 : mSettings.candidates();
     }
@@ -277,8 +277,8 @@
     }
 
     private boolean isHome(EndpointDescription description) {
-        return mHomeDomain.isPresent()
-                ? mHomeDomain.get().equals(description.failureDomain())
+        return mHomeDomains.isPresent()
+                ? mHomeDomains.get().contains(description.failureDomain())
                 : description.region().equals(mSettings.region());
     }
 
@@ -339,9 +339,10 @@
     /** Returns the additional time to fetch the KV cache of the processed prompt. */
     private double transferNanos(LocalitySettings locality, EndpointDescription description) {
         return mProfile.cacheLocation()
-                .map(cache -> locality.cost(cache.distanceTo(description.location())))
-                .orElse(LinkCost.NONE)
-                .transferNanos();
+                        .map(cache -> locality.cost(cache.distanceTo(description.location())))
+                        .orElse(LinkCost.NONE)
+                        .transferNanosPerToken()
+                * mProfile.promptTokens();
     }
 
     private double regionNanos(EndpointDescription description, double kilobytes) {
--- a/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
@@ -85,7 +85,7 @@
     /** The sample in the domain of the KV cache is additional to the one among all endpoints. */
     private static void considerNearCache(
             EndpointChoice choice, HostLocation cache, Runnable considerRoles) {
-        choice.compareApart(cache.failureDomain());
+        choice.compareApart(Set.of(cache.failureDomain()));
         choice.restrictTo(Set.of(cache.failureDomain()));
         considerRoles.run();
         choice.restrictTo(ALL_DOMAINS);
@@ -105,11 +105,12 @@
             considerRoles.run();
             return;
         }
-        String home = mSettings.get().location().failureDomain();
-        choice.compareApart(home);
+        choice.compareApart(outflow.get().home());
         choice.spread(SPREAD_NANOS, uniformBits(profile));
-        choice.restrictTo(Set.of(home));
-        considerRoles.run();
+        if (!outflow.get().home().isEmpty()) {
+            choice.restrictTo(outflow.get().home());
+            considerRoles.run();
+        }
         if (outflow.get().permits(uniform(profile))) {
             choice.restrictTo(outflow.get().domains());
             considerRoles.run();
--- a/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflow.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflow.java
@@ -8,20 +8,18 @@
  * role. Immutable.
  *
  * @param share fraction of the requests that may leave, 0 to 1
+ * @param home this failure domain, and those of its region that are weighed together with it; empty
+ *     while they have no endpoints
  * @param costNanos failure domains to which they may go, each with the cost of the way there, in
  *     nanoseconds; empty while the wait is not shorter anywhere
  * @param homeWaitNanos smoothed wait in this failure domain, in nanoseconds; infinite while it has
  *     no endpoints
  */
-public record DomainOutflow(double share, Map<String, Double> costNanos, double homeWaitNanos) {
-    /** Returns an outflow to some failure domains, with the cost of the way to each. */
-    static DomainOutflow of(double share, Map<String, Double> costNanos, double homeWaitNanos) {
-        return new DomainOutflow(share, Map.copyOf(costNanos), homeWaitNanos);
-    }
-
+public record DomainOutflow(
+        double share, Set<String> home, Map<String, Double> costNanos, double homeWaitNanos) {
     /** Returns an outflow that keeps all requests. */
-    public static DomainOutflow none(double homeWaitNanos) {
-        return new DomainOutflow(0, Map.of(), homeWaitNanos);
+    static DomainOutflow none(Set<String> home, double homeWaitNanos) {
+        return new DomainOutflow(0, home, Map.of(), homeWaitNanos);
     }
 
     /** Returns whether a request may leave, given a number that is uniform from 0 to 1. */
--- a/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflows.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflows.java
@@ -48,17 +48,16 @@
         Map<ServiceRole, DomainOutflow> outflows = new HashMap<>();
         pressures.forEach(
                 (key, domains) ->
-                        outflows.put(
-                                key,
-                                mPlanners
-                                        .computeIfAbsent(
-                                                key, any -> new OutflowPlanner(mClock, mSettings))
-                                        .plan(domains)));
+                        planner(key).plan(domains).ifPresent(plan -> outflows.put(key, plan)));
         mPlan = new Plan(Map.copyOf(outflows), mClock.nanoTime());
         mToldShares.keySet().retainAll(outflows.keySet());
         outflows.forEach(this::tell);
     }
 
+    private OutflowPlanner planner(ServiceRole key) {
+        return mPlanners.computeIfAbsent(key, any -> new OutflowPlanner(mClock, mSettings));
+    }
+
     private void tell(ServiceRole key, DomainOutflow outflow) {
         double told = mToldShares.getOrDefault(key, 0.0);
         double share = outflow.share();
@@ -74,7 +73,10 @@
         mToldShares.put(key, share);
     }
 
-    /** Returns the outflow; empty while the present loads of the other processes are unknown. */
+    /**
+     * Returns the outflow; empty while the present loads of the other processes are unknown, and
+     * where the region has too few endpoints to keep requests there.
+     */
     public Optional<DomainOutflow> current(ServiceRole key) {
         Plan plan = mPlan;
         return mClock.nanoTime() - plan.plannedAtNanos() > MAX_AGE_NANOS
--- a/routing/src/main/java/org/sesamedeck/routing/locality/DomainTrend.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/DomainTrend.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 
-/** Smoothed wait of a failure domain and the rate at which work arrives at its endpoints. */
+/**
+ * Smoothed wait of a group of failure domains and the rate at which work arrives at its endpoints.
+ */
 final class DomainTrend {
     /** Decay time of the mean of the wait, which jumps with each prompt. */
     private static final double WAIT_NANOS = Duration.ofMillis(200).toNanos();
@@ -21,21 +23,20 @@
      *
      * @param elapsed time since the last call, in nanoseconds
      */
-    void observe(DomainPressure pressure, double elapsed) {
+    void observe(DomainGroup group, double elapsed) {
         if (!mIsKnown) {
-            mWaitNanos = pressure.waitNanos();
-            mInflow = pressure.busyFraction();
+            mWaitNanos = group.waitNanos();
+            mInflow = group.busyFraction();
         } else if (elapsed > 0) {
-            mWaitNanos += part(elapsed, WAIT_NANOS) * (pressure.waitNanos() - mWaitNanos);
-            if (pressure.endpoints() == mEndpoints) {
-                double inflow =
-                        (pressure.workNanos() - mWorkNanos) / elapsed + pressure.busyFraction();
+            mWaitNanos += part(elapsed, WAIT_NANOS) * (group.waitNanos() - mWaitNanos);
+            if (group.endpoints() == mEndpoints) {
+                double inflow = (group.workNanos() - mWorkNanos) / elapsed + group.busyFraction();
                 mInflow += part(elapsed, INFLOW_NANOS) * (inflow - mInflow);
             }
         }
         mIsKnown = true;
-        mEndpoints = pressure.endpoints();
-        mWorkNanos = pressure.workNanos();
+        mEndpoints = group.endpoints();
+        mWorkNanos = group.workNanos();
     }
 
     private static double part(double elapsed, double decayNanos) {
--- a/routing/src/main/java/org/sesamedeck/routing/locality/LinkCost.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/LinkCost.java
@@ -6,9 +6,10 @@
  * @param delayNanos additional delay of a request and its response, in nanoseconds
  * @param nanosPerKilobyte cost of the bytes of both ways; an operator states the price of traffic
  *     as the wait that is worth a kilobyte, in nanoseconds
- * @param transferNanos additional time to transfer the KV cache of a prompt, in nanoseconds
+ * @param transferNanosPerToken additional time to transfer the KV cache of a prompt token, in
+ *     nanoseconds
  */
-public record LinkCost(double delayNanos, double nanosPerKilobyte, double transferNanos) {
+public record LinkCost(double delayNanos, double nanosPerKilobyte, double transferNanosPerToken) {
     /** The way inside a failure domain. */
     public static final LinkCost NONE = new LinkCost(0, 0, 0);
 
--- a/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.sesamedeck.core.Clock;
@@ -63,8 +64,8 @@
 
     private final Clock mClock;
     private final LocalitySettings mSettings;
-    private final Map<String, DomainTrend> mTrends = new HashMap<>();
-    private final Set<String> mOpen = new HashSet<>();
+    private final Map<Set<String>, DomainTrend> mTrends = new HashMap<>();
+    private final Set<Set<String>> mOpen = new HashSet<>();
     private StayingPart mStaying = new StayingPart();
     private boolean mHasPlan;
     private long mPlannedAtNanos;
@@ -76,7 +77,7 @@
     }
 
     /** A neighbor with the cost of the way there. */
-    private record Neighbor(String domain, DomainTrend trend, double costNanos) {
+    private record Neighbor(DomainGroup group, DomainTrend trend, double costNanos) {
         double levelNanos() {
             return trend.waitNanos() + costNanos;
         }
@@ -87,27 +88,42 @@
     }
 
     /**
-     * Returns the outflow under the present loads.
+     * Returns the outflow under the present loads; empty if the domain and its region have too few
+     * endpoints to keep requests there.
      *
-     * @param pressures one entry for each failure domain; one without usable endpoints may be left
-     *     out
+     * @param pressures one entry for each failure domain that has endpoints, usable or not
      */
-    DomainOutflow plan(List<DomainPressure> pressures) {
+    Optional<DomainOutflow> plan(List<DomainPressure> pressures) {
         long now = mClock.nanoTime();
-        double elapsed = mHasPlan ? now - mPlannedAtNanos : 0;
-        if (elapsed > MAX_GAP_NANOS) {
-            forget();
-            elapsed = 0;
-        }
+        double elapsed = elapsed(now);
         mHasPlan = true;
         mPlannedAtNanos = now;
-        List<DomainPressure> present =
-                pressures.stream().filter(pressure -> pressure.endpoints() > 0).toList();
-        observe(present, elapsed);
+        List<DomainGroup> groups = DomainGroup.of(pressures);
+        observe(groups, elapsed);
         mStaying.record(now, mOpen.isEmpty() ? 0 : mShare, elapsed);
-        List<Neighbor> neighbors = neighbors(present);
-        DomainTrend home = mTrends.get(mSettings.location().failureDomain());
-        return home == null ? evacuate(neighbors) : share(home, neighbors, elapsed);
+        List<Neighbor> neighbors = neighbors(groups);
+        Optional<DomainGroup> home =
+                groups.stream()
+                        .filter(group -> distance(group) == DomainDistance.SAME_DOMAIN)
+                        .findFirst();
+        if (home.isEmpty()) {
+            return Optional.of(evacuate(neighbors));
+        }
+        return home.filter(group -> group.endpoints() >= DomainGroup.MIN_ENDPOINTS)
+                .map(group -> share(group, neighbors, elapsed));
+    }
+
+    private DomainDistance distance(DomainGroup group) {
+        return group.distanceTo(mSettings.location());
+    }
+
+    private double elapsed(long now) {
+        long elapsed = mHasPlan ? now - mPlannedAtNanos : 0;
+        if (elapsed > MAX_GAP_NANOS) {
+            forget();
+            return 0;
+        }
+        return elapsed;
     }
 
     private void forget() {
@@ -117,36 +133,34 @@
         mShare = 0;
     }
 
-    private void observe(List<DomainPressure> pressures, double elapsed) {
-        Set<String> domains = new HashSet<>();
-        for (DomainPressure pressure : pressures) {
-            String domain = pressure.location().failureDomain();
-            domains.add(domain);
-            mTrends.computeIfAbsent(domain, any -> new DomainTrend()).observe(pressure, elapsed);
+    private void observe(List<DomainGroup> groups, double elapsed) {
+        for (DomainGroup group : groups) {
+            mTrends.computeIfAbsent(group.domains(), any -> new DomainTrend())
+                    .observe(group, elapsed);
         }
-        mTrends.keySet().retainAll(domains);
+        mTrends.keySet().retainAll(groups.stream().map(DomainGroup::domains).toList());
     }
 
     /** Returns the neighbors by rising level. */
-    private List<Neighbor> neighbors(List<DomainPressure> pressures) {
+    private List<Neighbor> neighbors(List<DomainGroup> groups) {
         List<Neighbor> neighbors = new ArrayList<>();
-        for (DomainPressure pressure : pressures) {
-            DomainDistance distance = mSettings.location().distanceTo(pressure.location());
+        for (DomainGroup group : groups) {
+            DomainDistance distance = distance(group);
             if (distance != DomainDistance.SAME_DOMAIN) {
-                String domain = pressure.location().failureDomain();
                 neighbors.add(
                         new Neighbor(
-                                domain,
-                                mTrends.get(domain),
+                                group,
+                                mTrends.get(group.domains()),
                                 mSettings.cost(distance).delayNanos()));
             }
         }
-        neighbors.sort(
-                Comparator.comparingDouble(Neighbor::levelNanos).thenComparing(Neighbor::domain));
+        // Stable: groups of the same level keep the order of their regions and domains.
+        neighbors.sort(Comparator.comparingDouble(Neighbor::levelNanos));
         return neighbors;
     }
 
-    private DomainOutflow share(DomainTrend home, List<Neighbor> neighbors, double elapsed) {
+    private DomainOutflow share(DomainGroup group, List<Neighbor> neighbors, double elapsed) {
+        DomainTrend home = mTrends.get(group.domains());
         List<Neighbor> accepting =
                 neighbors.stream().filter(neighbor -> !isFull(neighbor)).toList();
         double level =
@@ -159,8 +173,10 @@
         moveShare(accepting.isEmpty() ? 0 : 1 - kept / offered, elapsed);
         openAndClose(accepting, home.waitNanos(), level);
         List<Neighbor> open =
-                accepting.stream().filter(neighbor -> mOpen.contains(neighbor.domain())).toList();
-        return outflow(open, home.waitNanos());
+                accepting.stream()
+                        .filter(neighbor -> mOpen.contains(neighbor.group().domains()))
+                        .toList();
+        return outflow(group.domains(), open, home.waitNanos());
     }
 
     private boolean isFull(Neighbor neighbor) {
@@ -189,25 +205,27 @@
     }
 
     private void openAndClose(List<Neighbor> accepting, double homeWait, double level) {
-        Set<String> lower = new HashSet<>();
+        Set<Set<String>> lower = new HashSet<>();
         for (Neighbor neighbor : accepting) {
             if (neighbor.levelNanos() < level) {
-                mOpen.add(neighbor.domain());
+                mOpen.add(neighbor.group().domains());
             }
             if (neighbor.trend().waitNanos() < homeWait) {
-                lower.add(neighbor.domain());
+                lower.add(neighbor.group().domains());
             }
         }
         mOpen.retainAll(lower);
     }
 
-    private DomainOutflow outflow(List<Neighbor> open, double homeWait) {
+    private DomainOutflow outflow(Set<String> home, List<Neighbor> open, double homeWait) {
         if (mShare < MIN_SHARE) {
-            return DomainOutflow.none(homeWait);
+            return DomainOutflow.none(home, homeWait);
         }
         Map<String, Double> costs = new TreeMap<>();
-        open.forEach(neighbor -> costs.put(neighbor.domain(), neighbor.costNanos()));
-        return DomainOutflow.of(mShare, costs, homeWait);
+        for (Neighbor neighbor : open) {
+            neighbor.group().domains().forEach(domain -> costs.put(domain, neighbor.costNanos()));
+        }
+        return new DomainOutflow(mShare, home, Map.copyOf(costs), homeWait);
     }
 
     /**
@@ -234,7 +252,7 @@
                                         neighbor.costNanos() <= nearestCost
                                                 || neighbor.levelNanos() < nearestLevel)
                         .toList();
-        open.forEach(neighbor -> mOpen.add(neighbor.domain()));
-        return outflow(open, Double.POSITIVE_INFINITY);
+        open.forEach(neighbor -> mOpen.add(neighbor.group().domains()));
+        return outflow(Set.of(), open, Double.POSITIVE_INFINITY);
     }
 }
