--- a/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
@@ -340,6 +340,7 @@
         mScheduler.advance(Duration.ofSeconds(2));
         int before = mStore.calls();
         for (int i = 0; i < 5; i++) {
+            mStore.changeOtherKind();
             mStore.forgetHistory();
             mScheduler.advance(Duration.ofSeconds(2));
         }
--- a/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
@@ -26,7 +26,10 @@
 
     private final ManualScheduler mScheduler;
     private final Map<String, T> mObjects = new TreeMap<>();
-    private final List<Item<T>> mChanges = new ArrayList<>();
+
+    /** Empty for changes of another kind, which raise the revision, too. */
+    private final List<Optional<Item<T>>> mChanges = new ArrayList<>();
+
     private final List<Watch> mWatches = new ArrayList<>();
     private boolean mIsSilent;
     private boolean mIsRefusing;
@@ -45,21 +48,20 @@
         }
 
         void answer() {
-            List<Item<T>> changes = mChanges.subList((int) mRevision, mChanges.size());
+            List<Item<T>> changes = changesBetween(mRevision, mChanges.size());
             if (!mIsLost && mRevision < mFirstRevision) {
                 mWatches.remove(this);
                 mAnswer.complete(new Changes<>(List.of(), mRevision, true));
             } else if (!mIsLost) {
                 mWatches.remove(this);
-                int last = changes.isEmpty() ? 0 : mChanges.size();
+                long last = changes.isEmpty() ? 0 : mChangedRevision;
                 byte[] source = ByteBuffer.allocate(Long.BYTES).putLong(mRevision).array();
-                mAnswer.complete(
-                        new Changes<>(List.copyOf(changes), mChanges.size(), false, last, source));
+                mAnswer.complete(new Changes<>(changes, mChanges.size(), false, last, source));
             }
         }
 
         void answerIfChanged() {
-            if (!mIsLost && mChanges.size() > mRevision) {
+            if (!mIsLost && !changesBetween(mRevision, mChanges.size()).isEmpty()) {
                 mScheduler.schedule(mResponseTime, this::answer);
             }
         }
@@ -90,8 +92,8 @@
     }
 
     private void change(Item<T> item) {
-        mChanges.add(item);
-        mChangedRevision = item.isDeleted() ? mChangedRevision : mChanges.size();
+        mChanges.add(Optional.of(item));
+        mChangedRevision = mChanges.size();
         List.copyOf(mWatches).forEach(Watch::answerIfChanged);
     }
 
@@ -101,6 +103,11 @@
         silenceConnections();
     }
 
+    /** Changes an object of another kind. */
+    void changeOtherKind() {
+        mChanges.add(Optional.empty());
+    }
+
     /** Forgets the changes so far; what has not been answered yet gets no changes. */
     void forgetHistory() {
         mFirstRevision = mChanges.size();
@@ -141,9 +148,14 @@
 
     @Override
     public Changes<T> decode(byte[] source, long revision) {
-        int base = (int) ByteBuffer.wrap(source).getLong();
-        return new Changes<>(
-                List.copyOf(mChanges.subList(base, (int) revision)), revision, false, revision);
+        long base = ByteBuffer.wrap(source).getLong();
+        return new Changes<>(changesBetween(base, revision), revision, false, revision);
+    }
+
+    private List<Item<T>> changesBetween(long base, long revision) {
+        return mChanges.subList((int) base, (int) revision).stream()
+                .flatMap(Optional::stream)
+                .toList();
     }
 
     @Override
