A process that is told changes counts an outage from the last confirmation

A process without watch calls notices an outage of the store up to 2.6 s late and could take it for a short interruption, after which lapsed endpoints count as gone. If the first call after a time of being told fails, the failures now count from the last answer of the store that the process has heard of. FleetFreshnessTest.outageIsNoticedByProcessesThatAreToldByOthers covers outages of 3 to 8 s. docs/design/store-calls.md says what is read and passed on.

--- a/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
@@ -64,6 +64,7 @@
     private OptionalLong mWatchedRevision = OptionalLong.empty();
     private Duration mWatchWait = Duration.ZERO;
     private OptionalLong mToldRevision = OptionalLong.empty();
+    private boolean mWasTold;
     private long mChangedRevision;
     private final Set<String> mNames = new HashSet<>();
     private boolean mIsListed;
@@ -172,6 +173,7 @@
     private void readTold() {
         long revision = mToldRevision.orElseThrow();
         mToldRevision = OptionalLong.empty();
+        mWasTold = true;
         watch(revision, RETRY_WAIT);
     }
 
@@ -354,6 +356,10 @@
         boolean wasCutOff =
                 exception.code() == ResultCode.STORE_OUTCOME_UNKNOWN
                         && callTime.compareTo(wait.plus(ANSWER_TIME)) < 0;
+        if (mWasTold) {
+            // Without calls of its own, this process has not noticed when the failures began.
+            mOutage.begunBefore(mSchedule.timeSinceConfirmation());
+        }
         if (mOutage.failed(wasCutOff)) {
             mListener.storeUnavailable();
         }
@@ -375,6 +381,7 @@
 
     private void succeeded() {
         mBackoff = INITIAL_BACKOFF;
+        mWasTold = false;
         if (!mOutage.isFailing()) {
             return;
         }
--- a/gateway/src/main/java/org/sesamedeck/gateway/FleetWatchSchedule.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FleetWatchSchedule.java
@@ -108,6 +108,11 @@
                 && !mProgress.isBehind(mKind);
     }
 
+    @Override
+    public Duration timeSinceConfirmation() {
+        return mProgress.timeSinceConfirmation(mKind);
+    }
+
     @Override
     public void share(long baseRevision, long revision, byte[] source) {
         if (!mIsAlone.getAsBoolean() && mWaitsShort.getAsBoolean()) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/OutageDetector.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/OutageDetector.java
@@ -37,6 +37,17 @@
                 mFailingSinceNanos.map(since -> mClock.nanoTime() - since).orElse(0L));
     }
 
+    /**
+     * Records that the first call after a time in which no process heard from the store failed.
+     *
+     * @param since time since the store was last heard of
+     */
+    void begunBefore(Duration since) {
+        if (!isFailing()) {
+            mFailingSinceNanos = Optional.of(mClock.nanoTime() - since.toNanos());
+        }
+    }
+
     /**
      * Records that a call failed, or that calls have failed until now.
      *
--- a/gateway/src/main/java/org/sesamedeck/gateway/WatchSchedule.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/WatchSchedule.java
@@ -31,6 +31,11 @@
                 return false;
             }
 
+            @Override
+            public Duration timeSinceConfirmation() {
+                return Duration.ZERO;
+            }
+
             @Override
             public void share(long baseRevision, long revision, byte[] source) {}
 
@@ -70,6 +75,9 @@
      */
     boolean isToldByOthers();
 
+    /** Returns the time since the store answered any process, as far as this one has heard. */
+    Duration timeSinceConfirmation();
+
     /**
      * Passes changes on that this process has read.
      *
--- a/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
@@ -297,13 +297,14 @@
         assertAllKnow(mProcesses.subList(SHORT_WAITS, PROCESSES), "new");
     }
 
-    /** Guards against an outage that a process without calls does not notice. */
-    @Test
-    void outageIsNoticedByProcessesThatAreToldByOthers() {
+    /** Guards against an outage that a process without calls does not notice, or notices late. */
+    @ParameterizedTest
+    @ValueSource(ints = {3_000, 3_500, 4_500, 8_000})
+    void outageIsNoticedByProcessesThatAreToldByOthers(int millis) {
         mIsSharing = true;
         startFleet(0);
         mStore.setRefusing(true);
-        mScheduler.advance(Duration.ofMillis(4_500));
+        mScheduler.advance(Duration.ofMillis(millis));
         mStore.setRefusing(false);
         mScheduler.advance(Duration.ofMillis(2_000));
         assertThat(mProcesses.stream().map(process -> process.mOutages).toList(), everyItem(is(1)));
--- a/routing/src/main/java/org/sesamedeck/routing/FleetProgress.java
+++ b/routing/src/main/java/org/sesamedeck/routing/FleetProgress.java
@@ -127,6 +127,14 @@
                 .orElse(false);
     }
 
+    /** Returns the time since the store answered some process; zero if no answer is known. */
+    public Duration timeSinceConfirmation(String kind) {
+        return progress(kind)
+                .mConfirmedNanos
+                .map(confirmed -> Duration.ofNanos(mClock.nanoTime() - confirmed))
+                .orElse(Duration.ZERO);
+    }
+
     private void updateBehind(Progress progress) {
         if (progress.mChangedRevision <= progress.mOwnRevision) {
             progress.mBehindSinceNanos = Optional.empty();
