A list without history is read again with pauses

Addresses of peers are read by calls that may be stale. The first list still follows at once; further ones pause, from 60 ms up to the longest backoff, until a watch is answered.

--- a/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
@@ -68,6 +68,7 @@
     private long mChangedRevision;
     private final Set<String> mNames = new HashSet<>();
     private boolean mIsListed;
+    private Duration mListPause = Duration.ZERO;
     private boolean mIsClosed;
 
     /** Receives the objects of a feed and changes in the availability of the store. */
@@ -307,9 +308,10 @@
                             }
                             succeeded();
                             if (changes.isHistoryLost()) {
-                                list();
+                                historyLost();
                                 return;
                             }
+                            mListPause = Duration.ZERO;
                             mSchedule.confirmed(changes.revision(), changes.changedRevision());
                             if (changes.items().isEmpty()) {
                                 watch(changes.revision());
@@ -319,6 +321,22 @@
                         });
     }
 
+    /**
+     * Lists the objects again. A list that may be stale can be older than the history of the store,
+     * and the next one, too, so that pauses between lists grow until a watch is answered.
+     */
+    private void historyLost() {
+        Duration pause = mListPause;
+        Duration doubled = pause.isZero() ? INITIAL_BACKOFF : pause.multipliedBy(2);
+        Duration longest = mSchedule.pace().maxBackoff();
+        mListPause = doubled.compareTo(longest) > 0 ? longest : doubled;
+        if (pause.isZero()) {
+            list();
+        } else {
+            mTimers.schedule(pause, this::list);
+        }
+    }
+
     private void changed(Feed.Changes<T> changes) {
         long base = mChangedRevision;
         mChangedRevision = changes.changedRevision();
--- a/gateway/src/test/java/org/sesamedeck/gateway/FeedFollowerTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FeedFollowerTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -200,6 +201,24 @@
         assertThat(mCalls, contains("list after -", "list after b", "watch 7"));
     }
 
+    /**
+     * Guards against calls without a pause while the store answers with lists whose history it has
+     * already dropped, as a list that may be stale does.
+     */
+    @Test
+    void listsWithoutHistoryAreReadWithPauses() {
+        start();
+        for (int i = 0; i < 200; i++) {
+            while (!mLists.isEmpty()) {
+                mLists.remove().complete(new Feed.Page<>(items("a"), false, 7));
+                mWatches.remove().complete(new Feed.Changes<>(List.of(), 7, true));
+            }
+            mScheduler.advance(Duration.ofMillis(50));
+        }
+        assertThat(mCalls.size(), lessThan(40));
+        mLists.clear();
+    }
+
     /** Guards against watching from a revision whose history the store has dropped. */
     @Test
     void lostHistoryCausesNewList() {
