--- a/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
+++ b/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.sesamedeck.routing.Assignment;
+import org.sesamedeck.routing.LossAvoidance;
 import org.sesamedeck.routing.RequestPhase;
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.Router;
@@ -59,6 +60,24 @@
                 : RequestPhase.WHOLE;
     }
 
+    /**
+     * Chooses the endpoint for the next attempt of a request. One that could not be repeated avoids
+     * endpoints that are suspected to lose requests.
+     *
+     * @param history attempts of the request so far
+     */
+    Optional<Assignment> choose(
+            RequestProfile profile,
+            RequestPhase phase,
+            Optional<ProcessedPrompt> prompt,
+            AttemptHistory history,
+            Route route) {
+        Set<String> suspected =
+                history.isRepeatable(route, phase) ? Set.of() : mRouter.suspected(profile);
+        return LossAvoidance.choose(
+                history.excluded(), suspected, avoided -> choose(profile, phase, prompt, avoided));
+    }
+
     /**
      * Chooses the endpoint for a phase. A processed prompt is continued in its own region if an
      * engine there can take it, and the router prefers its own failure domain: the KV cache of a
--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.sesamedeck.core.ResultCode;
 import org.sesamedeck.routing.Assignment;
-import org.sesamedeck.routing.LossAvoidance;
 import org.sesamedeck.routing.RequestPhase;
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.quarantine.QuarantinedPart;
@@ -136,12 +134,7 @@
         PhaseSplitPolicy policy = mHandler.phaseSplit();
         RequestPhase phase = policy.nextPhase(profile, mProcessedPrompt, mHistory.mayPrefill());
         Optional<Assignment> chosen =
-                LossAvoidance.choose(
-                        mHistory.excluded(),
-                        mHistory.isRepeatable(accepted().route(), phase)
-                                ? Set.of()
-                                : mHandler.router().suspected(profile),
-                        avoided -> policy.choose(profile, phase, mProcessedPrompt, avoided));
+                policy.choose(profile, phase, mProcessedPrompt, mHistory, accepted().route());
         if (chosen.isEmpty()) {
             noEndpointAvailable(phase);
             return;
