--- a/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
@@ -172,7 +172,8 @@
                                 List.of(),
                                 List.of(),
                                 List.of(),
-                                Optional.of(UsageSummary.of(List.of(usage)))));
+                                Optional.of(UsageSummary.of(List.of(usage))),
+                                1));
         peer.send(
                 new DatagramPacket(
                         bytes, bytes.length, InetAddress.getByName("127.0.0.1"), to.port()));
