--- a/request/src/main/java/org/sesamedeck/request/RequestAccess.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestAccess.java
@@ -89,9 +89,7 @@
         return new QueueRank(priority(), mIsSetBack.get());
     }
 
-    /**
-     * Records the end; where requests that were set back are not served, some later ones are not.
-     */
+    /** Records the end of the request, since those that are set back must not all end unserved. */
     void ended(RequestOutcome outcome) {
         if (mIsSetBack.orElse(false) && !SERVED.contains(outcome)) {
             mAccount.ifPresent(account -> mHandler.accountShares().recordUnserved(account.name()));
