Only prompts are spread over few endpoints by chance

The random time of up to 0.6 s also ranked decode engines for whole requests and plain endpoints, whose load is known from each response: their choice was nearly random between two. LocalityFleetTest, SingleDomainTest, OutflowPlannerTest, DefaultRouterTest, StrictRolesTest and UnevenEndpointsTest passed.

--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -13,7 +13,7 @@
     private static final int MAX_PREFIX_HOLDERS = 2;
 
     /** Of the few endpoints of a domain, a larger sample would always contain the same best one. */
-    private static final int DOMAIN_SAMPLE_SIZE = 2;
+    private static final int SPREAD_SAMPLE_SIZE = 2;
 
     private static final double NANOS_PER_MICRO = 1e3;
     private static final double BYTES_PER_KILOBYTE = 1e3;
@@ -76,9 +76,9 @@
     }
 
     /**
-     * Adds a random part of a time to the cost by which endpoints of one group are ranked. The
-     * processes of a domain see the same old loads of a few endpoints; all of them would send to
-     * the least loaded one until its queue is seen.
+     * Samples fewer endpoints, and adds a random part of a time to the cost by which endpoints of
+     * one group are ranked. The processes of a domain see the same old loads of a few endpoints;
+     * all of them would send to the least loaded one until its queue is seen.
      *
      * @param nanos work that an endpoint gets while a load is on its way, in nanoseconds
      */
@@ -157,8 +157,8 @@
     }
 
     private int candidates() {
-        return mHomeDomains.isPresent()
-                ? Math.min(DOMAIN_SAMPLE_SIZE, mSettings.candidates())
+        return mSpreadNanos > 0
+                ? Math.min(SPREAD_SAMPLE_SIZE, mSettings.candidates())
                 : mSettings.candidates();
     }
 
--- a/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
@@ -106,7 +106,10 @@
             return;
         }
         choice.compareApart(outflow.get().home());
-        choice.spread(SPREAD_NANOS, uniformBits(profile));
+        if (phase == RequestPhase.PREFILL) {
+            // Plain endpoints and batches tell their load with each response instead.
+            choice.spread(SPREAD_NANOS, uniformBits(profile));
+        }
         if (!outflow.get().home().isEmpty()) {
             choice.restrictTo(outflow.get().home());
             considerRoles.run();
