Suspected endpoints: findings of the review

Avoided endpoints are passed apart from those that failed the request. * The limit of half of the endpoints compared suspected ones that were out of use with those in use, and roles were mixed. Only endpoints that could take the phase count. * The limit on silence grew with the queue that the silence builds, so that a dark engine was not noticed under load. It stays until a response arrives.

--- a/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
+++ b/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
@@ -73,9 +73,9 @@
             AttemptHistory history,
             Route route) {
         Set<String> suspected =
-                history.isRepeatable(route, phase) ? Set.of() : mRouter.suspected(profile);
+                history.isRepeatable(route, phase) ? Set.of() : mRouter.suspected(profile, phase);
         return LossAvoidance.choose(
-                history.excluded(), suspected, avoided -> choose(profile, phase, prompt, avoided));
+                suspected, avoided -> choose(profile, phase, prompt, history.excluded(), avoided));
     }
 
     /**
@@ -85,19 +85,21 @@
      * after another, so that each slow transfer delays all responses behind it.
      *
      * @param excluded names of endpoints that already failed this request
+     * @param avoided names of endpoints that are suspected to lose requests
      */
     Optional<Assignment> choose(
             RequestProfile profile,
             RequestPhase phase,
             Optional<ProcessedPrompt> prompt,
-            Set<String> excluded) {
+            Set<String> excluded,
+            Set<String> avoided) {
         if (prompt.isEmpty()) {
-            return mRouter.choosePhase(profile, phase, excluded);
+            return mRouter.choosePhase(profile, phase, excluded, avoided);
         }
         HostLocation cache = prompt.get().endpoint().location();
         RequestProfile processed = profile.withCacheAt(cache);
-        return mRouter.choosePhase(processed.inRegion(cache.region()), phase, excluded)
-                .or(() -> mRouter.choosePhase(processed, phase, excluded));
+        return mRouter.choosePhase(processed.inRegion(cache.region()), phase, excluded, avoided)
+                .or(() -> mRouter.choosePhase(processed, phase, excluded, avoided));
     }
 
     private boolean prefersSplit(OptionalLong wholeNanos, OptionalLong prefillNanos) {
--- a/request/src/test/java/org/sesamedeck/request/PhaseSplitPolicyTest.java
+++ b/request/src/test/java/org/sesamedeck/request/PhaseSplitPolicyTest.java
@@ -75,7 +75,8 @@
                                 profile(),
                                 RequestPhase.DECODE,
                                 Optional.of(new ProcessedPrompt(mPromptEngine, "h")),
-                                excluded)
+                                excluded,
+                                Set.of())
                         .orElseThrow()) {
             return assignment.endpoint().region();
         }
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -125,9 +125,16 @@
     @Override
     public Optional<Assignment> choosePhase(
             RequestProfile profile, RequestPhase phase, Set<String> excluded) {
+        return choosePhase(profile, phase, excluded, Set.of());
+    }
+
+    @Override
+    public Optional<Assignment> choosePhase(
+            RequestProfile profile, RequestPhase phase, Set<String> excluded, Set<String> avoided) {
         EndpointTable table = mTable;
+        Set<String> unusable = LossAvoidance.union(excluded, avoided);
         while (true) {
-            EndpointChoice choice = compare(table, profile, phase, excluded);
+            EndpointChoice choice = compare(table, profile, phase, unusable, !excluded.isEmpty());
             EndpointState best = choice.best();
             if (best == null) {
                 return Optional.empty();
@@ -151,7 +158,7 @@
 
     @Override
     public OptionalLong expectedStartNanos(RequestProfile profile, RequestPhase phase) {
-        EndpointChoice choice = compare(mTable, profile, phase, Set.of());
+        EndpointChoice choice = compare(mTable, profile, phase, suspected(profile, phase), false);
         EndpointState best = choice.best();
         if (best == null) {
             return OptionalLong.empty();
@@ -161,7 +168,11 @@
     }
 
     private EndpointChoice compare(
-            EndpointTable table, RequestProfile profile, RequestPhase phase, Set<String> excluded) {
+            EndpointTable table,
+            RequestProfile profile,
+            RequestPhase phase,
+            Set<String> excluded,
+            boolean isRepeated) {
         Candidates candidates = table.candidates(profile.target());
         EndpointChoice choice =
                 new EndpointChoice(
@@ -181,7 +192,7 @@
                 table,
                 profile,
                 phase,
-                !excluded.isEmpty(),
+                isRepeated,
                 () -> considerRoles(choice, table, candidates, phase));
         if (choice.isEmpty()) {
             choice.considerAll(candidates);
@@ -252,7 +263,8 @@
                             mServiceTimes.computeIfAbsent(
                                     endpoint.service(), name -> new ServiceTimeModel()),
                             mSpeeds.create(),
-                            new EndpointSuspicion(mClock, mSpreads.nextDouble()));
+                            new EndpointSuspicion(
+                                    mClock, mSpreads.nextDouble(), endpoint.isEngine()));
             if (hasStatedLeaving) {
                 state.statedLeaving();
             }
@@ -316,8 +328,10 @@
     }
 
     @Override
-    public Set<String> suspected(RequestProfile profile) {
-        return LossAvoidance.suspected(mTable.candidates(profile.target()));
+    public Set<String> suspected(RequestProfile profile, RequestPhase phase) {
+        return LossAvoidance.suspected(
+                mTable.candidates(profile.target()),
+                state -> EndpointChoice.acceptsPhase(mSettings, state.description(), phase));
     }
 
     @Override
@@ -363,16 +377,8 @@
     @Override
     public Optional<PhaseLoad> phaseLoad(
             String service, int processes, ToIntFunction<EndpointRole> engines) {
-        PhaseLoadSum sum = new PhaseLoadSum();
-        for (EndpointState state : mTable.pool(service).all()) {
-            Optional<EndpointLoad> others = state.peerLoad();
-            if (processes > 1 && others.isEmpty()) {
-                return Optional.empty();
-            }
-            EndpointLoad own = state.ownLoad();
-            sum.add(state.description().role(), others.map(own::plus).orElse(own), capacity(state));
-        }
-        return sum.extendedTo(engines);
+        return PhaseLoadSum.over(mTable.pool(service), processes, this::capacity)
+                .flatMap(sum -> sum.extendedTo(engines));
     }
 
     private double capacity(EndpointState state) {
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -234,9 +234,15 @@
     }
 
     private boolean acceptsPhase(EndpointDescription description) {
-        return !mSettings.traits().rolesAreStrict()
+        return acceptsPhase(mSettings, description, mPhase);
+    }
+
+    /** Returns whether the role of an endpoint lets it serve a phase. */
+    static boolean acceptsPhase(
+            RouterSettings settings, EndpointDescription description, RequestPhase phase) {
+        return !settings.traits().rolesAreStrict()
                 || description.role() == EndpointRole.MIXED
-                || (mPhase == RequestPhase.PREFILL) == (description.role() == EndpointRole.PREFILL);
+                || (phase == RequestPhase.PREFILL) == (description.role() == EndpointRole.PREFILL);
     }
 
     /**
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointSuspicion.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointSuspicion.java
@@ -32,11 +32,15 @@
     /** Multiple of the expected time to the first response that counts as silence. */
     private static final double SILENCE_FACTOR = 3;
 
+    /** A response of this age is taken to be newer than the evidence that others have told of. */
+    private static final long FRESH_RESPONSE_NANOS = Duration.ofMillis(300).toNanos();
+
     /** A single process may be cut off itself, and would then suspect all endpoints. */
     private static final int MIN_SUSPECTING_PEERS = 2;
 
     private final Clock mClock;
     private final double mSpread;
+    private final boolean mTellsSilence;
     private long mIntervalNanos;
     private long mSinceNanos;
     private long mUntilNanos;
@@ -45,37 +49,47 @@
     private int mAwaited;
     private long mSilentSinceNanos;
     private long mSilenceLimitNanos;
+    private long mRespondedAtNanos;
+    private boolean mHasRespondedSinceLimit;
 
     /**
      * Creates a suspicion without evidence.
      *
      * @param spread random part of this process, as a multiple of each interval, 0 to 1
+     * @param tellsSilence whether silence is evidence for other processes too; at an endpoint that
+     *     responds only when a request is done, one long request of each is as silent
      */
-    EndpointSuspicion(Clock clock, double spread) {
+    EndpointSuspicion(Clock clock, double spread, boolean tellsSilence) {
         mClock = clock;
         mSpread = spread;
+        mTellsSilence = tellsSilence;
+        mRespondedAtNanos = clock.nanoTime() - FRESH_RESPONSE_NANOS;
         mUntilNanos = clock.nanoTime();
     }
 
     /**
-     * Records a request whose first response is awaited.
+     * Records a request whose first response is awaited. While nothing is heard, later requests do
+     * not raise the limit: the queue that they wait in may be the result of the silence.
      *
      * @param expectedNanos expected time until then
      */
     synchronized void awaits(double expectedNanos) {
         if (mAwaited == 0) {
             mSilentSinceNanos = mClock.nanoTime();
-            mSilenceLimitNanos = 0;
+        }
+        if (mAwaited == 0 || mHasRespondedSinceLimit) {
+            mSilenceLimitNanos = MIN_SILENCE_NANOS + (long) (SILENCE_FACTOR * expectedNanos);
+            mHasRespondedSinceLimit = false;
         }
         mAwaited++;
-        long limit = MIN_SILENCE_NANOS + (long) (SILENCE_FACTOR * expectedNanos);
-        mSilenceLimitNanos = Math.max(mSilenceLimitNanos, limit);
     }
 
     /** Records that a request is no longer awaited, with or without a response. */
     synchronized void awaitsNoLonger() {
         if (isSilent()) {
-            lost();
+            suspect();
+            mHasEvidence |= mTellsSilence;
+            mEvidenceAtNanos = mClock.nanoTime();
         }
         mAwaited--;
     }
@@ -84,6 +98,8 @@
     synchronized void responded() {
         long now = mClock.nanoTime();
         mSilentSinceNanos = now;
+        mRespondedAtNanos = now;
+        mHasRespondedSinceLimit = true;
         mHasEvidence = false;
         if (mUntilNanos - now > 0) {
             mUntilNanos = now;
@@ -98,13 +114,16 @@
     }
 
     /**
-     * Applies the evidence of the other processes.
+     * Applies the evidence of the other processes, unless this one has just had a response.
      *
      * @param suspecting how many of them have evidence now
      * @param processes number of processes that send work, including this one
      */
     synchronized void updatePeers(int suspecting, int processes) {
-        if (suspecting >= Math.max(1, Math.min(MIN_SUSPECTING_PEERS, processes - 1))) {
+        int needed = Math.max(1, Math.min(MIN_SUSPECTING_PEERS, processes - 1));
+        boolean hasFreshResponse =
+                !mHasEvidence && mClock.nanoTime() - mRespondedAtNanos < FRESH_RESPONSE_NANOS;
+        if (suspecting >= needed && !hasFreshResponse) {
             suspect();
         }
     }
@@ -124,7 +143,7 @@
     /** Returns whether this process has evidence of its own that the others are told of. */
     synchronized boolean hasEvidence() {
         boolean isRecent = mClock.nanoTime() - mEvidenceAtNanos < TOLD_NANOS;
-        return mHasEvidence && isRecent || isSilent();
+        return mHasEvidence && isRecent || mTellsSilence && isSilent();
     }
 
     /** Returns whether the endpoint is suspected. */
--- a/routing/src/main/java/org/sesamedeck/routing/LossAvoidance.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LossAvoidance.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Keeps a request away from endpoints that are suspected to lose requests, as long as others can
@@ -16,31 +17,39 @@
     /**
      * Chooses among the endpoints that are not suspected, or among all if none of them is usable.
      *
-     * @param excluded names of endpoints that already failed the request
      * @param suspected names of suspected endpoints
-     * @param choice chooses an endpoint, given the names of those it must not use
+     * @param choice chooses an endpoint, given the names of those to avoid
      */
     public static Optional<Assignment> choose(
-            Set<String> excluded,
-            Set<String> suspected,
-            Function<Set<String>, Optional<Assignment>> choice) {
-        if (suspected.isEmpty()) {
-            return choice.apply(excluded);
+            Set<String> suspected, Function<Set<String>, Optional<Assignment>> choice) {
+        Optional<Assignment> chosen = choice.apply(suspected);
+        return chosen.isPresent() || suspected.isEmpty() ? chosen : choice.apply(Set.of());
+    }
+
+    /** Returns the union of two sets, of which one is mostly empty. */
+    static Set<String> union(Set<String> first, Set<String> second) {
+        if (first.isEmpty() || second.isEmpty()) {
+            return first.isEmpty() ? second : first;
         }
-        Set<String> avoided = new HashSet<>(excluded);
-        avoided.addAll(suspected);
-        return choice.apply(avoided).or(() -> choice.apply(excluded));
+        Set<String> union = new HashSet<>(first);
+        union.addAll(second);
+        return union;
     }
 
     /**
-     * Returns the names of the suspected endpoints of one target. None are named if they are more
-     * than half of the usable ones, since the others could not take their work.
+     * Returns the names of the suspected endpoints that could take a request now. None are named if
+     * they are more than half of those, since the others could not take their work.
+     *
+     * @param fits whether an endpoint serves the phase of the request
      */
-    static Set<String> suspected(Candidates candidates) {
+    static Set<String> suspected(Candidates candidates, Predicate<EndpointState> fits) {
         Set<String> suspected = null;
         int usable = 0;
         for (EndpointState state : candidates.all()) {
-            usable += state.isUsable() ? 1 : 0;
+            if (!state.isUsable() || !fits.test(state)) {
+                continue;
+            }
+            usable++;
             if (state.suspicion().isActive()) {
                 suspected = suspected == null ? new HashSet<>() : suspected;
                 suspected.add(state.description().name());
--- a/routing/src/main/java/org/sesamedeck/routing/PhaseLoadSum.java
+++ b/routing/src/main/java/org/sesamedeck/routing/PhaseLoadSum.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 
 /**
@@ -28,6 +29,28 @@
         private double mCapacity;
     }
 
+    /**
+     * Returns the load of some engines, summed over all processes; empty while that of the others
+     * is unknown.
+     *
+     * @param processes number of processes that send work, including this one
+     * @param capacity returns the number of responses that an engine can generate
+     */
+    static Optional<PhaseLoadSum> over(
+            Candidates engines, int processes, ToDoubleFunction<EndpointState> capacity) {
+        PhaseLoadSum sum = new PhaseLoadSum();
+        for (EndpointState state : engines.all()) {
+            Optional<EndpointLoad> others = state.peerLoad();
+            if (processes > 1 && others.isEmpty()) {
+                return Optional.empty();
+            }
+            EndpointLoad own = state.ownLoad();
+            EndpointLoad load = others.map(own::plus).orElse(own);
+            sum.add(state.description().role(), load, capacity.applyAsDouble(state));
+        }
+        return Optional.of(sum);
+    }
+
     /** Adds an engine with the number of responses that it can generate. */
     void add(EndpointRole role, EndpointLoad load, double capacity) {
         Sum sum = mSums.computeIfAbsent(role, key -> new Sum());
--- a/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
+++ b/routing/src/main/java/org/sesamedeck/routing/RoutedAssignment.java
@@ -66,11 +66,11 @@
         mUnstartedNanos = mPromptNanos;
         mAssignedAtNanos = clock.nanoTime();
         mStartsAtOnce = endpoint.startsAtOnce();
-        endpoint.assigned(this);
         if (phase != RequestPhase.DECODE) {
             mIsAwaited = true;
             endpoint.suspicion().awaits(endpoint.expectedWaitNanos(1) + mPromptNanos);
         }
+        endpoint.assigned(this);
     }
 
     @Override
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -30,6 +30,19 @@
         return choose(profile, excluded);
     }
 
+    /**
+     * Chooses an endpoint for one phase of a request that avoids some endpoints which have not
+     * failed it.
+     *
+     * @param excluded names of endpoints that already failed this request
+     * @param avoided names of endpoints that it must not use for other reasons
+     * @return empty when no endpoint can take the phase now
+     */
+    default Optional<Assignment> choosePhase(
+            RequestProfile profile, RequestPhase phase, Set<String> excluded, Set<String> avoided) {
+        return choosePhase(profile, phase, LossAvoidance.union(excluded, avoided));
+    }
+
     /**
      * Estimates how long a phase takes until its first token if it is sent now: the wait and the
      * prompt. Does not assign the request.
@@ -109,10 +122,10 @@
     }
 
     /**
-     * Returns the names of the endpoints of the request's target that are suspected to lose
-     * requests; see {@link LossAvoidance}.
+     * Returns the names of the endpoints that serve the phase and are suspected to lose requests;
+     * see {@link LossAvoidance}.
      */
-    default Set<String> suspected(RequestProfile profile) {
+    default Set<String> suspected(RequestProfile profile, RequestPhase phase) {
         return Set.of();
     }
 
--- a/routing/src/test/java/org/sesamedeck/routing/LossAvoidanceTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/LossAvoidanceTest.java
@@ -85,6 +85,10 @@
         return new RequestProfile("", "", "service", false, 5, 0, 0, new long[0], 0, Set.of(), 0);
     }
 
+    private static Set<String> suspected(DefaultRouter router) {
+        return router.suspected(profile(), RequestPhase.WHOLE);
+    }
+
     private void run(long millis, boolean avoidsLosses) {
         for (long i = 0; i < millis; i++) {
             mClock.advance(Duration.ofMillis(1));
@@ -105,8 +109,7 @@
         DefaultRouter router = mRouters.get(mRandom.nextInt(mRouters.size()));
         Assignment assignment =
                 LossAvoidance.choose(
-                                Set.of(),
-                                avoidsLosses ? router.suspected(profile()) : Set.of(),
+                                avoidsLosses ? suspected(router) : Set.of(),
                                 avoided -> router.choose(profile(), avoided))
                         .orElseThrow();
         boolean isLost = mFaulty.contains(assignment.endpoint().name());
@@ -195,7 +198,7 @@
         mFaulty = Set.of();
         run(20_000, true);
 
-        assertThat(mRouters.get(0).suspected(profile()), is(Set.of()));
+        assertThat(suspected(mRouters.get(0)), is(Set.of()));
     }
 
     /** Guards against one process that cannot reach an endpoint and keeps all others from it. */
@@ -210,8 +213,8 @@
         }
 
         String endpoint = lost.orElseThrow().endpoint().name();
-        assertThat(mRouters.get(0).suspected(profile()), is(Set.of(endpoint)));
-        assertThat(mRouters.get(1).suspected(profile()), is(Set.of()));
+        assertThat(suspected(mRouters.get(0)), is(Set.of(endpoint)));
+        assertThat(suspected(mRouters.get(1)), is(Set.of()));
     }
 
     /** Guards against work that is moved to a few endpoints because most others lost a request. */
@@ -225,7 +228,7 @@
         }
         int suspected = (int) mRouters.get(0).exclusionCounts().suspected();
 
-        boolean isAvoided = !mRouters.get(0).suspected(profile()).isEmpty();
+        boolean isAvoided = !suspected(mRouters.get(0)).isEmpty();
         assertThat(isAvoided, is(suspected * 2 <= ENDPOINTS));
     }
 }
