--- a/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
@@ -20,8 +20,9 @@
 /**
  * Keeps a listener up to date with a feed: lists it once, then watches it from that revision, and
  * lists it again when the store has lost the history. After a failure it retries from the same
- * revision, so that no change is missed, with short calls until one is answered. Confined to one
- * thread.
+ * revision, so that no change is missed, with short calls until one is answered. While other
+ * processes pass changes on in time, it keeps no watch call and takes these over; see {@link
+ * WatchSchedule#isToldByOthers}. Confined to one thread.
  *
  * @param <T> type of the decoded objects
  */
@@ -58,6 +59,7 @@
     private final WatchSchedule mSchedule;
     private final SplittableRandom mRandom;
     private final OutageDetector mOutage;
+    private final Set<String> mNames = new HashSet<>();
     private Duration mBackoff = INITIAL_BACKOFF;
     private long mCalledAtNanos;
     private long mCallNumber;
@@ -66,7 +68,6 @@
     private OptionalLong mToldRevision = OptionalLong.empty();
     private boolean mWasTold;
     private long mChangedRevision;
-    private final Set<String> mNames = new HashSet<>();
     private boolean mIsListed;
     private Duration mListPause = Duration.ZERO;
     private boolean mIsClosed;
