Steady uploads, refusals during uploads and requests sent ahead

What callers saw, as listed open in docs/design/crowds.md: a body that arrives steadily for longer than the idle timeout was answered 408; a refusal during an upload could be lost to a reset; a caller that sends requests ahead lost the one in progress when memory was short.

Causes: the timer of a body ran from its head on; a refusal closed the connection with unread input; InputGate closed the connection when it found no memory for what it held back.

A body is now late when nothing of it has arrived for the idle timeout. After a refusal, input is read and dropped for half a second, as after a refusal for a missing key, before the decoder sees it. Input that finds no memory is kept, at most one read a connection, and the connection is not read from.

--- a/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.sesamedeck.gateway;
 
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -186,8 +185,7 @@
      * lose the response.
      */
     void closeAfter(ChannelFuture written) {
-        mGate.discard();
-        mGate.open();
+        mGate.ignoreInput();
         written.addListener(
                 future -> {
                     mIgnoresInput = true;
@@ -206,9 +204,14 @@
         }
     }
 
+    /** Refuses a body of which nothing has arrived, or been admitted, for the idle timeout. */
     private void bodyIsLate() {
+        Duration idle = mServer.limits().idleTimeout();
+        long idleNanos = mServer.clock().nanoTime() - mLastProgressNanos;
         if (mReader.isAwaitingAdmission()) {
             mReader.refuseForMemory();
+        } else if (idleNanos < idle.toNanos()) {
+            schedule(idle.minusNanos(idleNanos), this::bodyIsLate);
         } else {
             refused(408, "body is late");
         }
@@ -401,7 +404,7 @@
         cancelTimer();
         FullHttpResponse response = RefusalResponse.of(status, message);
         schedule(mServer.limits().idleTimeout(), this::close);
-        mContext.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        closeAfter(mContext.writeAndFlush(response));
     }
 
     /**
--- a/gateway/src/main/java/org/sesamedeck/gateway/ConnectionMemory.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/ConnectionMemory.java
@@ -36,6 +36,14 @@
         return true;
     }
 
+    /** Reserves bytes that have been received already and cannot be refused. */
+    void reserve(long bytes) {
+        if (!mIsReleased) {
+            mMemory.reserve(bytes);
+            mReservedBytes += bytes;
+        }
+    }
+
     void release(long bytes) {
         if (!mIsReleased) {
             mReservedBytes -= bytes;
--- a/gateway/src/main/java/org/sesamedeck/gateway/InputGate.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/InputGate.java
@@ -9,7 +9,8 @@
  * Holds received bytes back from the HTTP decoder while the connection cannot use them: during a
  * request in progress and while a large body waits for admission. Requests that a caller sends
  * ahead are therefore kept as a few bytes and not as decoded heads. When it holds as much as the
- * bound, the connection is not read from; until then the end of the connection is noticed.
+ * bound, or memory is short, the connection is not read from; until then the end of the connection
+ * is noticed.
  */
 final class InputGate extends ChannelInboundHandlerAdapter {
     private static final int MAX_HELD_BYTES = 16 * 1_024;
@@ -19,6 +20,7 @@
     private ChannelHandlerContext mContext;
     private int mHeldBytes;
     private boolean mIsOpen = true;
+    private boolean mIgnoresInput;
 
     InputGate(CallerConnection connection) {
         mConnection = connection;
@@ -53,20 +55,24 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         ByteBuf bytes = (ByteBuf) message;
+        if (mIgnoresInput) {
+            bytes.release();
+            return;
+        }
         if (mIsOpen) {
             pass(bytes);
             return;
         }
         // A small part of a large buffer keeps all of it.
         int capacity = bytes.capacity();
-        if (!mConnection.memory().tryReserve(capacity)) {
-            bytes.release();
-            context.close();
-            return;
+        boolean hasRoom = mConnection.memory().tryReserve(capacity);
+        if (!hasRoom) {
+            // Closing would end the request in progress; each connection exceeds by one read.
+            mConnection.memory().reserve(capacity);
         }
         mHeld.add(bytes);
         mHeldBytes += capacity;
-        if (mHeldBytes >= MAX_HELD_BYTES) {
+        if (!hasRoom || mHeldBytes >= MAX_HELD_BYTES) {
             context.channel().config().setAutoRead(false);
         }
     }
@@ -81,6 +87,13 @@
         mConnection.memory().release(bytes.capacity());
     }
 
+    /** Reads on and drops what is held and what still arrives. */
+    void ignoreInput() {
+        discard();
+        mIgnoresInput = true;
+        mContext.channel().config().setAutoRead(true);
+    }
+
     /** Drops what is held; the connection releases the reserved memory. */
     void discard() {
         mIsOpen = false;
--- a/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/GatewayHttpFixture.java
@@ -85,7 +85,8 @@
         PlainHeaderCodec headerCodec = new PlainHeaderCodec();
         EndpointClient client = EndpointClient.create(mLoop, mClock, headerCodec);
         CallerServer server =
-                CallerServer.create(mLoop, mClock, headerCodec, requestHandler, client);
+                CallerServer.create(
+                        mLoop, mClock, headerCodec, requestHandler, client, callerLimits());
         mResources.add(() -> mLoop.submit(server::close).sync());
         mResources.add(() -> mLoop.submit(client::close).sync());
         mCallerAddress = HostAddress.of("127.0.0.1", freePort());
@@ -190,6 +191,11 @@
         return 4 << 20;
     }
 
+    /** Returns what the gateway may hold for all callers. */
+    CallerLimits callerLimits() {
+        return CallerLimits.defaults();
+    }
+
     /** Connects with a small receive buffer, so that what is not read stays with the gateway. */
     Socket connectSlowly() throws IOException {
         Socket socket = new Socket();
