Entry: one owner of callers' connections, threads and memory

CallerLedger decides without sockets (CallerLedgerTest); CallerHandler, outside all other handlers, tells it when a request waits for its caller. Both ports have a ledger, connections and threads of their own. Bodies are reserved by block before they are read and parsed token by token. BoundedHttpConnection limits the number of fields, which Jetty does not. The admin port takes bodies of up to 64 KiB: its servlet for tasks kept 32 MB for each caller.

New settings: [http] connections and [http] fields, defaults 0 (derived) and 256. Changed behaviour: a completion with one of model, stream, messages, tools, max_tokens, max_completion_tokens or n twice is refused with BAD_REQUEST; before, the last one counted.

--- a/gateway/src/main/java/org/sesamedeck/gateway/DescriptorLimit.java
+++ b/core/src/main/java/org/sesamedeck/core/DescriptorLimit.java
@@ -1,4 +1,4 @@
-package org.sesamedeck.gateway;
+package org.sesamedeck.core;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -7,7 +7,7 @@
 import java.util.regex.Pattern;
 
 /** The limit that the system sets on the open descriptors of this process. */
-final class DescriptorLimit {
+public final class DescriptorLimit {
     private static final Pattern SOFT_LIMIT =
             Pattern.compile("(?m)^Max open files\\s+(\\d{1,8})\\s");
 
@@ -16,7 +16,8 @@
 
     private DescriptorLimit() {}
 
-    static int ofThisProcess() {
+    /** Returns the limit, or a usual one where the system does not say. */
+    public static int ofThisProcess() {
         try {
             Matcher limit = SOFT_LIMIT.matcher(Files.readString(Path.of("/proc/self/limits")));
             return limit.find() ? Integer.parseInt(limit.group(1)) : DEFAULT;
--- a/daemon/src/main/java/org/sesamedeck/daemon/BaseDaemon.java
+++ b/daemon/src/main/java/org/sesamedeck/daemon/BaseDaemon.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.eclipse.jetty.server.SizeLimitHandler;
 import org.glassfish.jersey.server.ServerProperties;
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.core.SesamedeckException;
@@ -29,6 +30,9 @@
     /** Exit status when a component could not be started. */
     public static final int EXIT_START = 4;
 
+    private static final long MAX_ADMIN_BODY_BYTES = 64 * 1_024;
+    private static final long NO_LIMIT = -1;
+
     private Settings mSettings;
 
     /** Returns the settings of the daemon in addition to {@link DaemonSettings#all()}. */
@@ -37,6 +41,14 @@
     /** Returns the address of the application port, if the daemon has one. */
     protected abstract Optional<HostAddress> listen(Settings settings);
 
+    /**
+     * Returns the memory in bytes that callers of the application port may reserve for their
+     * bodies; without limit unless the daemon keeps bodies.
+     */
+    protected long callerMemory(Settings settings) {
+        return Long.MAX_VALUE;
+    }
+
     /**
      * Builds and registers the components of the daemon. The lifecycle of the environment manages
      * those that need closing.
@@ -61,7 +73,8 @@
             System.err.println(invalid.getMessage());
             System.exit(EXIT_SETTINGS);
         }
-        DaemonConfiguration configuration = DaemonConfiguration.of(mSettings, listen(mSettings));
+        DaemonConfiguration configuration =
+                DaemonConfiguration.of(mSettings, listen(mSettings), callerMemory(mSettings));
         Bootstrap<DaemonConfiguration> bootstrap = new Bootstrap<>(this);
         initialize(bootstrap);
         configuration.getLoggingFactory().configure(bootstrap.getMetricRegistry(), getName());
@@ -86,10 +99,15 @@
         // By default Jersey holds a flushed stream back until its end.
         environment.jersey().property(ServerProperties.OUTBOUND_CONTENT_LENGTH_BUFFER, 0);
         environment.jersey().property(ServerProperties.WADL_FEATURE_DISABLE, true);
+        // The servlet for tasks keeps the whole body.
+        environment
+                .getAdminContext()
+                .insertHandler(new SizeLimitHandler(MAX_ADMIN_BODY_BYTES, NO_LIMIT));
         environment
                 .admin()
                 .addServlet("prometheus", PrometheusServlet.of(environment.metrics()))
                 .addMapping("/prometheus");
+        CallerMetrics.register(environment.metrics(), configuration.callers());
         Drainable drainable = start(mSettings, environment);
         environment.healthChecks().register("accepting", AcceptingHealthCheck.of(drainable));
         ShutdownSequence sequence =
--- a/daemon/src/main/java/org/sesamedeck/daemon/DaemonConfiguration.java
+++ b/daemon/src/main/java/org/sesamedeck/daemon/DaemonConfiguration.java
@@ -2,8 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.TextNode;
 import io.dropwizard.core.Configuration;
-import io.dropwizard.core.server.DefaultServerFactory;
-import io.dropwizard.jetty.HttpConnectorFactory;
+import io.dropwizard.jetty.ConnectorFactory;
 import io.dropwizard.logging.common.ConsoleAppenderFactory;
 import io.dropwizard.logging.common.DefaultLoggingFactory;
 import io.dropwizard.logging.json.EventJsonLayoutBaseFactory;
@@ -13,8 +12,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.sesamedeck.core.DescriptorLimit;
 import org.sesamedeck.core.HostAddress;
 import org.sesamedeck.core.Settings;
+import org.sesamedeck.core.SystemClock;
+import org.sesamedeck.daemon.caller.BoundedConnectorFactory;
+import org.sesamedeck.daemon.caller.BoundedServerFactory;
+import org.sesamedeck.daemon.caller.CallerLedger;
+import org.sesamedeck.daemon.caller.CallerLimits;
 
 /** Converts validated INI settings to the configuration object that Dropwizard expects. */
 public final class DaemonConfiguration extends Configuration {
@@ -61,23 +66,51 @@
                     "BASELINE-CONTROL",
                     "VERSION-CONTROL");
 
-    private DaemonConfiguration() {}
+    private static final int ADMIN_THREADS = 8;
+
+    /** A balancer and a collector of metrics need a few connections. */
+    private static final int ADMIN_CONNECTIONS = 64;
+
+    /** A quarter of the threads; two more belong to the connector. */
+    private static final int ADMIN_TRANSFERS = ADMIN_THREADS / 4;
+
+    private final CallerLedger mCallers;
+
+    private DaemonConfiguration(CallerLedger callers) {
+        mCallers = callers;
+    }
 
     /**
      * Returns the Dropwizard configuration of a daemon.
      *
      * @param listen address of the application port; without one, the application port is an
      *     ephemeral loopback port on which nothing is served
+     * @param callerMemory memory for bodies of callers of the application port, in bytes
      */
-    public static DaemonConfiguration of(Settings settings, Optional<HostAddress> listen) {
-        DaemonConfiguration configuration = new DaemonConfiguration();
-        DefaultServerFactory server = new DefaultServerFactory();
+    public static DaemonConfiguration of(
+            Settings settings, Optional<HostAddress> listen, long callerMemory) {
+        int maxThreads = Math.toIntExact(settings.get(DaemonSettings.THREADS));
+        CallerLimits limits =
+                new CallerLimits(maxConnections(settings), maxThreads / 2, callerMemory);
+        DaemonConfiguration configuration = new DaemonConfiguration(ledger(limits));
+        BoundedServerFactory server = new BoundedServerFactory();
         server.setApplicationConnectors(
-                List.of(connector(listen.orElse(HostAddress.of("127.0.0.1", 0)))));
-        server.setAdminConnectors(List.of(connector(settings.get(DaemonSettings.ADMIN_LISTEN))));
-        server.setMaxThreads(Math.toIntExact(settings.get(DaemonSettings.THREADS)));
+                List.of(
+                        connector(
+                                settings,
+                                listen.orElse(HostAddress.of("127.0.0.1", 0)),
+                                configuration.mCallers)));
+        CallerLimits adminLimits =
+                new CallerLimits(ADMIN_CONNECTIONS, ADMIN_TRANSFERS, Long.MAX_VALUE);
+        server.setAdminConnectors(
+                List.of(
+                        connector(
+                                settings,
+                                settings.get(DaemonSettings.ADMIN_LISTEN),
+                                ledger(adminLimits))));
+        server.setMaxThreads(maxThreads);
         server.setMinThreads(4);
-        server.setAdminMaxThreads(8);
+        server.setAdminMaxThreads(ADMIN_THREADS);
         server.setAdminMinThreads(1);
         server.setRegisterDefaultExceptionMappers(false);
         server.setAllowedMethods(ALLOWED_METHODS);
@@ -93,11 +126,27 @@
         return configuration;
     }
 
-    private static HttpConnectorFactory connector(HostAddress address) {
-        HttpConnectorFactory connector = new HttpConnectorFactory();
-        connector.setBindHost(address.address());
-        connector.setPort(address.port());
-        return connector;
+    private static CallerLedger ledger(CallerLimits limits) {
+        return CallerLedger.of(SystemClock.create(), limits);
+    }
+
+    private static int maxConnections(Settings settings) {
+        int connections = Math.toIntExact(settings.get(DaemonSettings.CONNECTIONS));
+        return connections > 0
+                ? connections
+                : CallerLimits.defaultConnections(
+                        Runtime.getRuntime().maxMemory(), DescriptorLimit.ofThisProcess());
+    }
+
+    private static ConnectorFactory connector(
+            Settings settings, HostAddress address, CallerLedger callers) {
+        return BoundedConnectorFactory.of(
+                address, callers, Math.toIntExact(settings.get(DaemonSettings.FIELDS)));
+    }
+
+    /** Returns the ledger of the application port. */
+    CallerLedger callers() {
+        return mCallers;
     }
 
     private static DefaultLoggingFactory logging(Settings settings) {
--- a/daemon/src/main/java/org/sesamedeck/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/sesamedeck/daemon/DaemonSettings.java
@@ -30,7 +30,8 @@
                     HTTP,
                     "admin-listen",
                     SettingTypes.address(),
-                    "Listen address of the admin port: health, readiness and metrics.");
+                    "Listen address of the admin port: health, readiness and metrics. It takes"
+                            + " bodies of up to 64 KiB and 64 connections.");
 
     /** Maximum number of HTTP threads; each open request holds one. */
     public static final Setting<Long> THREADS =
@@ -39,7 +40,29 @@
                     "threads",
                     SettingTypes.wholeNumber(8, 8192),
                     "1100",
-                    "Maximum number of HTTP threads; each open request holds one.");
+                    "Maximum number of HTTP threads; each open request holds one. When more than"
+                            + " half wait for callers to send or to read, those that have stalled"
+                            + " longest are closed.");
+
+    /** Maximum number of connections of callers; 0 to derive it from heap and descriptors. */
+    public static final Setting<Long> CONNECTIONS =
+            Setting.optional(
+                    HTTP,
+                    "connections",
+                    SettingTypes.wholeNumber(0, 1_000_000),
+                    "0",
+                    "Maximum number of connections of callers; 0 for one per 96 KiB of heap, but at"
+                            + " most half of the descriptors beyond 200. Beyond it the connection"
+                            + " that has been longest without a request is closed.");
+
+    /** Maximum number of header and trailer fields of a request. */
+    public static final Setting<Long> FIELDS =
+            Setting.optional(
+                    HTTP,
+                    "fields",
+                    SettingTypes.wholeNumber(32, 4_096),
+                    "256",
+                    "Maximum number of header and trailer fields of a request.");
 
     /** Time that the load balancer may take to notice that the process is not ready. */
     public static final Setting<Duration> BALANCER_DELAY =
@@ -64,6 +87,14 @@
     /** Returns the settings above, in the order of the settings reference. */
     public static List<Setting<?>> all() {
         return List.of(
-                NAME, FAILURE_DOMAIN, REGION, ADMIN_LISTEN, THREADS, BALANCER_DELAY, LOG_LEVEL);
+                NAME,
+                FAILURE_DOMAIN,
+                REGION,
+                ADMIN_LISTEN,
+                THREADS,
+                CONNECTIONS,
+                FIELDS,
+                BALANCER_DELAY,
+                LOG_LEVEL);
     }
 }
--- a/entry/src/main/java/org/sesamedeck/caller/BodyReader.java
+++ b/entry/src/main/java/org/sesamedeck/caller/BodyReader.java
@@ -1,73 +1,96 @@
 package org.sesamedeck.caller;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeoutException;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.ResultCode;
 
-/** Reads request bodies into memory within limits of size, time and total memory. */
+/**
+ * Reads request bodies into memory within limits of size, time and total memory. Memory is reserved
+ * by the block before the block is read, so that a body in tiny pieces takes no more than its size.
+ */
 final class BodyReader {
-    private static final int CHUNK_BYTES = 8 * 1024;
+    private static final int FIRST_BLOCK_BYTES = 2 * 1024;
+    private static final int BLOCK_BYTES = 16 * 1024;
 
     private final Clock mClock;
     private final long mMaxBytes;
     private final Duration mTimeout;
-    private final MemoryBudget mBudget;
 
-    private BodyReader(Clock clock, long maxBytes, Duration timeout, MemoryBudget budget) {
+    private BodyReader(Clock clock, long maxBytes, Duration timeout) {
         mClock = clock;
         mMaxBytes = maxBytes;
         mTimeout = timeout;
-        mBudget = budget;
     }
 
-    static BodyReader of(Clock clock, long maxBytes, Duration timeout, MemoryBudget budget) {
-        return new BodyReader(clock, maxBytes, timeout, budget);
+    static BodyReader of(Clock clock, long maxBytes, Duration timeout) {
+        return new BodyReader(clock, maxBytes, timeout);
     }
 
     /**
-     * Reads a body to its end. Its bytes count against the budget until {@link #release} is called.
-     * A body whose announced length exceeds the limit is refused before any of it is read.
+     * Reads a body to its end. A body whose announced length exceeds the limit is refused before
+     * any of it is read.
      *
      * @param announcedBytes length that the caller announced; negative when it did not
+     * @param memory memory of the request; the size of the body remains reserved
      * @throws CallerException with REQUEST_TOO_LARGE, REQUEST_TIMEOUT, OVERLOADED or BAD_REQUEST
      */
-    byte[] read(InputStream body, long announcedBytes) {
+    byte[] read(InputStream body, long announcedBytes, RequestMemory memory) {
         if (announcedBytes > mMaxBytes) {
             throw tooLargeException();
         }
-        long deadlineNanos = mClock.nanoTime() + mTimeout.toNanos();
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        byte[] chunk = new byte[CHUNK_BYTES];
-        boolean isComplete = false;
+        List<byte[]> blocks = new ArrayList<>();
+        int size;
         try {
-            for (int count = body.read(chunk); count >= 0; count = body.read(chunk)) {
-                if (bytes.size() + count > mMaxBytes) {
-                    throw tooLargeException();
-                }
-                if (mClock.nanoTime() > deadlineNanos) {
-                    throw timeoutException();
-                }
-                mBudget.reserve(count);
-                bytes.write(chunk, 0, count);
-            }
-            isComplete = true;
-            return bytes.toByteArray();
+            size = readBlocks(body, blocks, memory);
         } catch (IOException failure) {
             throw failureOf(failure);
-        } finally {
-            if (!isComplete) {
-                mBudget.release(bytes.size());
-            }
         }
+        long blockBytes = blocks.stream().mapToLong(block -> block.length).sum();
+        memory.reserve(size);
+        byte[] bytes = new byte[size];
+        int position = 0;
+        for (byte[] block : blocks) {
+            int length = Math.min(block.length, size - position);
+            System.arraycopy(block, 0, bytes, position, length);
+            position += length;
+        }
+        memory.release(blockBytes);
+        return bytes;
     }
 
-    /** Releases the memory of a body; takes its length so that the body itself can be freed. */
-    void release(int length) {
-        mBudget.release(length);
+    /** Reads a body into blocks, all of which but the last are full, and returns its size. */
+    private int readBlocks(InputStream body, List<byte[]> blocks, RequestMemory memory)
+            throws IOException {
+        long deadlineNanos = mClock.nanoTime() + mTimeout.toNanos();
+        int size = 0;
+        byte[] block = new byte[0];
+        int used = 0;
+        while (true) {
+            if (used == block.length) {
+                int length = blocks.isEmpty() ? FIRST_BLOCK_BYTES : BLOCK_BYTES;
+                memory.reserve(length);
+                block = new byte[length];
+                blocks.add(block);
+                used = 0;
+            }
+            int count = body.read(block, used, block.length - used);
+            if (count < 0) {
+                return size;
+            }
+            used += count;
+            size += count;
+            if (size > mMaxBytes) {
+                throw tooLargeException();
+            }
+            if (mClock.nanoTime() > deadlineNanos) {
+                throw timeoutException();
+            }
+        }
     }
 
     /** Maps a failed read from the caller to REQUEST_TIMEOUT or BAD_REQUEST. */
--- a/entry/src/main/java/org/sesamedeck/caller/ChatResource.java
+++ b/entry/src/main/java/org/sesamedeck/caller/ChatResource.java
@@ -37,13 +37,15 @@
     private final EngineTimeEstimator mEstimator;
     private final long mMaxOutputTokens;
 
+    /** A request with the digest of its body, of which nothing else is kept. */
+    private record ReceivedChat(ChatRequest request, byte[] digest) {}
+
     /** Builds the resource. */
     @Inject
     ChatResource(
             RelayContext context,
             ControlClient control,
             AdmissionController admissionController,
-            MemoryBudget budget,
             EngineTimeEstimator estimator,
             Clock clock,
             CallerSettings settings) {
@@ -51,7 +53,7 @@
         mControl = control;
         mAuthenticator = Authenticator.of(control);
         mAdmission = RequestAdmission.of(admissionController, clock, settings.deadline());
-        mBodyReader = BodyReader.of(clock, settings.maxBodyBytes(), settings.bodyTimeout(), budget);
+        mBodyReader = BodyReader.of(clock, settings.maxBodyBytes(), settings.bodyTimeout());
         mEstimator = estimator;
         mMaxOutputTokens = settings.maxOutputTokens();
     }
@@ -63,15 +65,12 @@
         Caller caller = mAuthenticator.authenticate(servletRequest);
         long deadlineNanos = mAdmission.deadlineNanos(servletRequest);
         int priority = RequestAdmission.priority(servletRequest, caller.plan());
-        byte[] bytes = mBodyReader.read(body, servletRequest.getContentLengthLong());
-        int length = bytes.length;
-        openRequest.onClose(() -> mBodyReader.release(length));
-        ChatRequest request = ChatRequest.parse(bytes, mMaxOutputTokens);
-        byte[] digest =
-                Digests.sha256OfParts(
-                        "POST".getBytes(StandardCharsets.UTF_8),
-                        PATH.getBytes(StandardCharsets.UTF_8),
-                        bytes);
+        ReceivedChat received =
+                receive(
+                        body,
+                        servletRequest.getContentLengthLong(),
+                        RequestMemory.of(servletRequest, openRequest));
+        ChatRequest request = received.request();
         checkEntitlement(caller, request.model());
         RequestProfile profile = requestProfile(caller, request, priority, deadlineNanos);
         ChatPromptGuard promptGuard =
@@ -108,7 +107,8 @@
                                                 key,
                                                 openRequest.uniqueId());
                                 delivery.setGuard(guard);
-                                return guard.claim(digest, mAdmission.remaining(deadlineNanos));
+                                return guard.claim(
+                                        received.digest(), mAdmission.remaining(deadlineNanos));
                             });
             if (stored.isPresent()) {
                 return replay(stored.get(), request);
@@ -118,6 +118,22 @@
         return request.isStream() ? stream(delivery) : collect(delivery);
     }
 
+    /** Reads and parses a body; only what the request retains of it remains reserved. */
+    private ReceivedChat receive(InputStream body, long announcedBytes, RequestMemory memory) {
+        byte[] bytes = mBodyReader.read(body, announcedBytes, memory);
+        long parsingBytes = ChatRequest.parsingBytes(bytes.length);
+        memory.reserve(parsingBytes);
+        ChatRequest request = ChatRequest.parse(bytes, mMaxOutputTokens);
+        byte[] digest =
+                Digests.sha256OfParts(
+                        "POST".getBytes(StandardCharsets.UTF_8),
+                        PATH.getBytes(StandardCharsets.UTF_8),
+                        bytes);
+        memory.release(parsingBytes + bytes.length);
+        memory.reserve(request.retainedBytes());
+        return new ReceivedChat(request, digest);
+    }
+
     private AdmissionTicket admit(RequestProfile profile, OpenRequest openRequest) {
         String service = mControl.snapshot().serviceOfModel(profile.target()).orElse("");
         mContext.metrics()
--- a/entry/src/main/java/org/sesamedeck/caller/ServiceServlet.java
+++ b/entry/src/main/java/org/sesamedeck/caller/ServiceServlet.java
@@ -48,14 +48,13 @@
             RelayContext context,
             ControlClient control,
             AdmissionController admissionController,
-            MemoryBudget budget,
             Clock clock,
             CallerSettings settings) {
         mContext = context;
         mControl = control;
         mAuthenticator = Authenticator.of(control);
         mAdmission = RequestAdmission.of(admissionController, clock, settings.deadline());
-        mBodyReader = BodyReader.of(clock, settings.maxBodyBytes(), settings.bodyTimeout(), budget);
+        mBodyReader = BodyReader.of(clock, settings.maxBodyBytes(), settings.bodyTimeout());
     }
 
     @Override
@@ -161,10 +160,9 @@
             return length == 0 ? ServiceBody.buffered(new byte[0]) : ServiceBody.none();
         }
         if (hasIdempotencyKey || length > 0 && length <= MAX_BUFFERED_BYTES) {
-            byte[] bytes = mBodyReader.read(servletRequest.getInputStream(), length);
-            int size = bytes.length;
-            openRequest.onClose(() -> mBodyReader.release(size));
-            return ServiceBody.buffered(bytes);
+            RequestMemory memory = RequestMemory.of(servletRequest, openRequest);
+            return ServiceBody.buffered(
+                    mBodyReader.read(servletRequest.getInputStream(), length, memory));
         }
         return ServiceBody.streamed(servletRequest.getInputStream(), length);
     }
--- a/entry/src/main/java/org/sesamedeck/entry/EntryMain.java
+++ b/entry/src/main/java/org/sesamedeck/entry/EntryMain.java
@@ -58,6 +58,11 @@
         return Optional.of(settings.get(EntrySettings.LISTEN));
     }
 
+    @Override
+    protected long callerMemory(Settings settings) {
+        return settings.get(EntrySettings.BODY_MEMORY);
+    }
+
     @Override
     protected Drainable start(Settings settings, Environment environment) {
         Injector injector = Guice.createInjector(new EntryModule(settings, environment.metrics()));
--- a/entry/src/main/java/org/sesamedeck/entry/EntryModule.java
+++ b/entry/src/main/java/org/sesamedeck/entry/EntryModule.java
@@ -6,7 +6,6 @@
 import com.google.inject.Singleton;
 import org.sesamedeck.caller.CallerSettings;
 import org.sesamedeck.caller.EntryMetrics;
-import org.sesamedeck.caller.MemoryBudget;
 import org.sesamedeck.caller.OpenRequests;
 import org.sesamedeck.caller.RelayContext;
 import org.sesamedeck.caller.ResumeTokenCodec;
@@ -43,8 +42,6 @@
         bind(Clock.class).toInstance(SystemClock.create());
         bind(OpenRequests.class).toInstance(OpenRequests.create());
         bind(EngineTimeEstimator.class).toInstance(EngineTimeEstimator.create());
-        bind(MemoryBudget.class)
-                .toInstance(MemoryBudget.of(mSettings.get(EntrySettings.BODY_MEMORY)));
         bind(CallerSettings.class)
                 .toInstance(
                         new CallerSettings(
--- a/entry/src/main/java/org/sesamedeck/entry/EntrySettings.java
+++ b/entry/src/main/java/org/sesamedeck/entry/EntrySettings.java
@@ -69,7 +69,9 @@
                     "body-memory",
                     SettingTypes.wholeNumber(MEBIBYTE, 65_536 * MEBIBYTE),
                     String.valueOf(64 * MEBIBYTE),
-                    "Memory limit for the bodies of all open requests together, in bytes.");
+                    "Memory limit for the bodies of all open requests together, in bytes. When it is"
+                            + " short, bodies that have stalled are closed; then requests wait for up"
+                            + " to 2s and are refused.");
 
     /** Maximum number of output tokens that a caller may request. */
     public static final Setting<Long> MAX_OUTPUT_TOKENS =
--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.sesamedeck.core.Clock;
+import org.sesamedeck.core.DescriptorLimit;
 import org.sesamedeck.core.Setting;
 import org.sesamedeck.core.Settings;
 import org.sesamedeck.gateway.duty.DutyService;
