The router explains where a request would go now

Operators cannot see which endpoints a request would be compared at, with which load, and why others are left out, unless they send one. Router.explain runs the comparison of a request with a generator of its own and acquires nothing. The comparison moves from DefaultRouter to EndpointComparison, which takes the source of the samples and a listener; eligibility returns its reason (CandidateExclusion) instead of a flag, in the same order of checks. What is chosen stays the same.

--- a/routing/src/main/java/org/sesamedeck/routing/AccountShares.java
+++ b/routing/src/main/java/org/sesamedeck/routing/AccountShares.java
@@ -86,6 +86,15 @@
         return UsageSummary.sum(List.of(own(), mPeers));
     }
 
+    /**
+     * Returns whether a request of the account would be set back now, by the latest comparison of
+     * the accounts. Changes nothing.
+     */
+    public synchronized boolean wouldSetBack(String account) {
+        return mOverShare.contains(account)
+                && mUnserved.getOrDefault(account, 0) < UNSERVED_PER_KEPT_RANK;
+    }
+
     /**
      * Decides whether a new request of the account comes after those of other accounts: the account
      * is over its share, and its requests that came after the others were served.
--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -49,6 +49,7 @@
     private final EndpointExclusions mExclusions;
     private final EngineMemory mMemory = new EngineMemory();
     private final LocalityRule mLocality;
+    private final EndpointComparison mComparison;
     private final Map<String, ServiceTimeModel> mServiceTimes = new ConcurrentHashMap<>();
     private final SpeedEstimate.Factory mSpeeds;
     private volatile int mProcesses = 1;
@@ -69,6 +70,7 @@
         mRandom = new SplittableRandom(seed);
         mSpreads = new SplittableRandom(~seed);
         mLocality = LocalityRule.of(clock, settings, seed);
+        mComparison = new EndpointComparison(settings, mPrefixes, mMemory, mLocality);
         mExclusions =
                 new EndpointExclusions(
                         clock, settings.traits().rolesAreStrict(), mRandom.nextLong());
@@ -151,7 +153,10 @@
 
     @Override
     public OptionalLong expectedStartNanos(RequestProfile profile, RequestPhase phase) {
-        EndpointChoice choice = compare(mTable, profile, phase, Set.of());
+        return expectedStartNanos(compare(mTable, profile, phase, Set.of()));
+    }
+
+    private OptionalLong expectedStartNanos(EndpointChoice choice) {
         EndpointState best = choice.best();
         if (best == null) {
             return OptionalLong.empty();
@@ -160,48 +165,30 @@
         return OptionalLong.of((long) (best.expectedWaitNanos(mProcesses) + prompt));
     }
 
+    @Override
+    public RoutingExplanation explain(
+            RequestProfile profile, RequestPhase phase, Set<String> excluded) {
+        EndpointTable table = mTable;
+        ExplanationRecorder recorder = new ExplanationRecorder();
+        // Draws from a generator of its own, so that it changes no later choice.
+        SplittableRandom random = new SplittableRandom(mClock.nanoTime());
+        EndpointChoice choice =
+                mComparison.compare(
+                        table, mProcesses, profile, phase, excluded, random::nextLong, recorder);
+        return recorder.explain(
+                choice, table.candidates(profile.target()), expectedStartNanos(choice));
+    }
+
     private EndpointChoice compare(
             EndpointTable table, RequestProfile profile, RequestPhase phase, Set<String> excluded) {
-        Candidates candidates = table.candidates(profile.target());
-        EndpointChoice choice =
-                new EndpointChoice(
-                        mSettings,
-                        mPrefixes,
-                        mMemory,
-                        mProcesses,
-                        profile,
-                        phase,
-                        excluded,
-                        mLocality.settings(table));
-        if (phase != RequestPhase.DECODE) {
-            choice.considerFetching(table);
-        }
-        mLocality.consider(
-                choice,
+        return mComparison.compare(
                 table,
+                mProcesses,
                 profile,
                 phase,
-                !excluded.isEmpty(),
-                () -> considerRoles(choice, table, candidates, phase));
-        if (choice.isEmpty()) {
-            choice.considerAll(candidates);
-        }
-        choice.compareRegions();
-        return choice;
-    }
-
-    private void considerRoles(
-            EndpointChoice choice, EndpointTable table, Candidates candidates, RequestPhase phase) {
-        if (phase != RequestPhase.DECODE) {
-            choice.considerPrefixHolders(table);
-        }
-        choice.considerRole(candidates, EndpointRole.MIXED, nextRandom());
-        if (phase != RequestPhase.DECODE) {
-            choice.considerRole(candidates, EndpointRole.PREFILL, nextRandom());
-        }
-        if (phase != RequestPhase.PREFILL) {
-            choice.considerRole(candidates, EndpointRole.DECODE, nextRandom());
-        }
+                excluded,
+                this::nextRandom,
+                ComparisonListener.NONE);
     }
 
     @Override
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -29,6 +29,7 @@
     private final RequestPhase mPhase;
     private final Set<String> mExcluded;
     private final Optional<LocalitySettings> mLocality;
+    private ComparisonListener mListener = ComparisonListener.NONE;
     private Set<String> mDomains = Set.of();
     private Optional<Set<String>> mHomeDomains = Optional.empty();
     private double mSpreadNanos;
@@ -62,6 +63,11 @@
         mLocality = locality;
     }
 
+    /** Sets the receiver of what is compared from now on. */
+    void setListener(ComparisonListener listener) {
+        mListener = listener;
+    }
+
     /** Considers only endpoints of these failure domains from now on; empty for all. */
     void restrictTo(Set<String> domains) {
         mDomains = domains;
@@ -128,6 +134,7 @@
 
     /** Samples without replacement; an ineligible endpoint is replaced by the next eligible one. */
     void considerRole(Candidates candidates, EndpointRole role, long randomBits) {
+        mListener.searched(mDomains, role);
         EndpointState[] endpoints = inDomains(candidates.ofRole(role));
         int size = endpoints.length;
         if (size == 0) {
@@ -205,12 +212,29 @@
     }
 
     private boolean isEligible(EndpointState state) {
-        return state.isUsable()
-                && acceptsPhase(state.description())
-                && hasRoom(state)
-                && isInDomain(state.description())
-                && !mExcluded.contains(state.description().name())
-                && isInRegion(state.description());
+        return exclusion(state) == null;
+    }
+
+    /**
+     * Returns why the endpoint cannot take the request, or null when it can. The first reason that
+     * applies is returned.
+     */
+    CandidateExclusion exclusion(EndpointState state) {
+        CandidateExclusion exclusion = CandidateExclusion.of(state);
+        if (exclusion != null) {
+            return exclusion;
+        }
+        EndpointDescription description = state.description();
+        if (!acceptsPhase(description)) {
+            return CandidateExclusion.WRONG_ROLE;
+        } else if (!hasRoom(state)) {
+            return CandidateExclusion.NO_ROOM;
+        } else if (!isInDomain(description)) {
+            return CandidateExclusion.OUTSIDE_DOMAIN;
+        } else if (mExcluded.contains(description.name())) {
+            return CandidateExclusion.AVOIDED;
+        }
+        return isInRegion(description) ? null : CandidateExclusion.OUTSIDE_REGION;
     }
 
     private boolean isInRegion(EndpointDescription description) {
@@ -261,6 +285,7 @@
                                 ? 0
                                 : mProfile.expectedOutputTokens()
                                         * state.peerDecodeNanosPerToken(mProcesses));
+        mListener.compared(state, cost, rankingCost);
         if (!isHome(state.description())) {
             if (rankingCost < mRemoteRankingCost) {
                 mRemote = state;
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -148,7 +148,15 @@
     }
 
     boolean isUsable() {
-        return !isLeaving() && !mDescription.isChanging() && !mHold.isActive() && mBreaker.allows();
+        return CandidateExclusion.of(this) == null;
+    }
+
+    /** Returns the age of the newest load known, in ns; Long.MAX_VALUE while none is known. */
+    synchronized long loadAgeNanos() {
+        long now = mClock.nanoTime();
+        long reportAge = mHasReport ? now - mReportedAtNanos : Long.MAX_VALUE;
+        long peerAge = knowsPeerLoad() ? now - mPeerLoadAtNanos : Long.MAX_VALUE;
+        return Math.min(reportAge, peerAge);
     }
 
     synchronized void report(LoadReport report) {
--- a/routing/src/main/java/org/sesamedeck/routing/Router.java
+++ b/routing/src/main/java/org/sesamedeck/routing/Router.java
@@ -40,6 +40,18 @@
         return OptionalLong.empty();
     }
 
+    /**
+     * Explains which endpoint a phase would be sent to now. Assigns nothing and changes no later
+     * choice. Where more endpoints can take the phase than one choice samples, the sample is
+     * another one than that of the next choice.
+     *
+     * @param excluded names of endpoints that the request keeps away from
+     */
+    default RoutingExplanation explain(
+            RequestProfile profile, RequestPhase phase, Set<String> excluded) {
+        return RoutingExplanation.empty();
+    }
+
     /**
      * Returns an engine that probably holds a longer prefix of the prompt than the given endpoint,
      * which can fetch it from there.
