The request handler explains what would happen to a request

RequestHandler.explain gives route, account, service, first phase, queue, the outcome (sent, queued, refused) with its cause, and the explanation of the router. It uses what the lifecycle uses: RequestAccess, PhaseSplitPolicy, RequestQueue.accepts (split from enqueue) and RequestLifecycle.isQueueable. What a real decision writes has a reading counterpart: AccountShares.wouldSetBack and RequestAccess.presentRank count no set-back request, and PhaseSplitPolicy.firstPhase draws no sample of requests. Quarantined prompt parts are not considered.

--- a/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
+++ b/request/src/main/java/org/sesamedeck/request/PhaseSplitPolicy.java
@@ -3,11 +3,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 import org.sesamedeck.routing.Assignment;
 import org.sesamedeck.routing.LossAvoidance;
 import org.sesamedeck.routing.RequestPhase;
 import org.sesamedeck.routing.RequestProfile;
 import org.sesamedeck.routing.Router;
+import org.sesamedeck.routing.RoutingExplanation;
 import org.sesamedeck.routing.locality.HostLocation;
 
 /**
@@ -50,16 +52,47 @@
         if (prompt.isPresent()) {
             return RequestPhase.DECODE;
         }
-        if (!mIsEnabled || !mayPrefill || !profile.isModelRequest()) {
-            return RequestPhase.WHOLE;
-        }
-        return prefersSplit(
-                        mRouter.expectedStartNanos(profile, RequestPhase.WHOLE),
-                        mRouter.expectedStartNanos(profile, RequestPhase.PREFILL))
-                ? RequestPhase.PREFILL
+        return mayPrefill
+                ? unprocessedPhase(profile, phase -> mRouter.expectedStartNanos(profile, phase))
                 : RequestPhase.WHOLE;
     }
 
+    private RequestPhase unprocessedPhase(
+            RequestProfile profile, Function<RequestPhase, OptionalLong> expectedStartNanos) {
+        boolean isSplit =
+                mIsEnabled
+                        && profile.isModelRequest()
+                        && prefersSplit(
+                                expectedStartNanos.apply(RequestPhase.WHOLE),
+                                expectedStartNanos.apply(RequestPhase.PREFILL));
+        return isSplit ? RequestPhase.PREFILL : RequestPhase.WHOLE;
+    }
+
+    /** Returns the phase that a new request would begin with now; changes no later decision. */
+    RequestPhase firstPhase(RequestProfile profile) {
+        return unprocessedPhase(
+                profile,
+                phase ->
+                        mRouter.explain(profile, phase, Set.of())
+                                .expectedStart()
+                                .map(start -> OptionalLong.of(start.toNanos()))
+                                .orElse(OptionalLong.empty()));
+    }
+
+    /** Explains where a phase of a new request would be sent now; changes no later decision. */
+    RoutingExplanation explain(RequestProfile profile, RequestPhase phase, Route route) {
+        Set<String> suspected = suspected(profile, phase, new AttemptHistory(), route);
+        RoutingExplanation explanation = mRouter.explain(profile, phase, suspected);
+        return explanation.chosen().isPresent() || suspected.isEmpty()
+                ? explanation
+                : mRouter.explain(profile, phase, Set.of());
+    }
+
+    private Set<String> suspected(
+            RequestProfile profile, RequestPhase phase, AttemptHistory history, Route route) {
+        return history.isRepeatable(route, phase) ? Set.of() : mRouter.suspected(profile);
+    }
+
     /**
      * Chooses the endpoint for the next attempt of a request. One that could not be repeated avoids
      * endpoints that are suspected to lose requests.
@@ -72,8 +105,7 @@
             Optional<ProcessedPrompt> prompt,
             AttemptHistory history,
             Route route) {
-        Set<String> suspected =
-                history.isRepeatable(route, phase) ? Set.of() : mRouter.suspected(profile);
+        Set<String> suspected = suspected(profile, phase, history, route);
         return LossAvoidance.choose(
                 history.excluded(), suspected, avoided -> choose(profile, phase, prompt, avoided));
     }
--- a/request/src/main/java/org/sesamedeck/request/RequestAccess.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestAccess.java
@@ -89,6 +89,14 @@
         return new QueueRank(priority(), mIsSetBack.get());
     }
 
+    /** Returns the rank that the request would get now; decides nothing. */
+    QueueRank presentRank() {
+        boolean isSetBack =
+                mAccount.map(account -> mHandler.accountShares().wouldSetBack(account.name()))
+                        .orElse(false);
+        return new QueueRank(priority(), isSetBack);
+    }
+
     /**
      * Records the end; where requests that were set back are not served, some later ones are not.
      */
--- a/request/src/main/java/org/sesamedeck/request/RequestHandler.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestHandler.java
@@ -199,9 +199,7 @@
             return refuse(request, port, ResultCode.UNAUTHENTICATED, access.refusalCause());
         }
         String service = route.get().pickService(request.identifier().hashCode());
-        boolean isEngine =
-                configuration.service(service).map(ServiceDescription::isEngine).orElse(false);
-        RequestProfile profile = profile(request, route.get(), access, service, isEngine);
+        RequestProfile profile = profile(request, route.get(), access, service, isEngine(service));
         mEnginePriorities.record(route.get(), request.promptTokens());
         retryBudget(service).recordRequest();
         AcceptedRequest accepted =
@@ -219,6 +217,36 @@
         return lifecycle;
     }
 
+    /**
+     * Explains what would happen to a request that arrived now. Sends nothing and changes no later
+     * decision.
+     */
+    public RequestExplanation explain(CallerRequest request) {
+        if (mIsStopping) {
+            return RequestExplanation.refused(ResultCode.STOPPING, "this process is stopping");
+        }
+        if (mConfiguration.isEmpty()) {
+            return RequestExplanation.refused(
+                    ResultCode.UNAVAILABLE, "no configuration has been read yet");
+        }
+        Optional<Route> route = mConfiguration.get().route(request.host(), request.path());
+        if (route.isEmpty()) {
+            return RequestExplanation.refused(
+                    ResultCode.NOT_FOUND, "no route for this host and path");
+        }
+        RequestAccess access = RequestAccess.of(this, request, route.get());
+        String service = route.get().pickService(request.identifier().hashCode());
+        RequestProfile profile = profile(request, route.get(), access, service, isEngine(service));
+        return new RequestExplainer(this, request, route.get(), access, service, profile).explain();
+    }
+
+    private boolean isEngine(String service) {
+        return mConfiguration
+                .flatMap(configuration -> configuration.service(service))
+                .map(ServiceDescription::isEngine)
+                .orElse(false);
+    }
+
     private RequestLifecycle refuse(
             CallerRequest request, RequestPort port, ResultCode code, String message) {
         RequestLifecycle lifecycle = RequestLifecycle.of(this, request, Optional.empty(), port);
--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -75,7 +75,7 @@
         if (refuseIfQuarantined() || endIf(mHandler.refusalOfSetBack(accepted(), mRequest))) {
             return;
         }
-        if (accepted().profile().expectedOutputTokens() <= SHORT_RESPONSE_EVENTS) {
+        if (!isQueueable(accepted().profile())) {
             dispatch();
             return;
         }
@@ -91,6 +91,11 @@
         }
     }
 
+    /** Returns whether a request may wait for decode capacity. */
+    static boolean isQueueable(RequestProfile profile) {
+        return profile.expectedOutputTokens() > SHORT_RESPONSE_EVENTS;
+    }
+
     /** Refuses a request whose wait for decode capacity is too long to meet its deadline. */
     void refuseOverloaded() {
         if (!mIsOver && mAttempt.isEmpty()) {
--- a/request/src/main/java/org/sesamedeck/request/RequestQueue.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestQueue.java
@@ -56,16 +56,25 @@
      * @return false if the expected wait exceeds the request's maximum; it is not added then
      */
     boolean enqueue(RequestLifecycle lifecycle, QueueRank rank, Duration remainingTime) {
-        Duration maxWait = Duration.ofNanos((long) (remainingTime.toNanos() * MAX_WAIT_FRACTION));
-        if (expectedWait(ahead(rank)).compareTo(maxWait) > 0) {
+        if (!accepts(rank, remainingTime)) {
             return false;
         }
-        Timers.Timer waitTimer = mTimers.schedule(maxWait, lifecycle::refuseOverloaded);
+        Timers.Timer waitTimer =
+                mTimers.schedule(maxWait(remainingTime), lifecycle::refuseOverloaded);
         mEntries.add(new Entry(rank, ++mLastSequence, lifecycle, waitTimer));
         scheduleCheck();
         return true;
     }
 
+    /** Returns whether the expected wait of a request is within its maximum. */
+    boolean accepts(QueueRank rank, Duration remainingTime) {
+        return expectedWait(ahead(rank)).compareTo(maxWait(remainingTime)) <= 0;
+    }
+
+    private static Duration maxWait(Duration remainingTime) {
+        return Duration.ofNanos((long) (remainingTime.toNanos() * MAX_WAIT_FRACTION));
+    }
+
     /** Returns the number of queued requests that are ahead of a new one of this rank. */
     int ahead(QueueRank rank) {
         return mEntries.headSet(new Entry(rank, Long.MAX_VALUE, null, null), true).size();
