The status server answers where a request would go now

GET /explain?host=..&path=.. (model, prompt-tokens, output-tokens and request-id are optional) returns the explanation of the request handler as JSON. It is computed on the traffic thread, one at a time: a further question gets 503 at once, so that questions cannot pile up there. Responses of the status server may now complete later; readiness and metrics still complete at once, and a connection that sends a request before its explanation has come is closed, so that responses keep their order.

--- a/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/GatewayDaemon.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.core.Setting;
@@ -139,7 +140,13 @@
                         callerLimits(settings));
         mStatusServer =
                 StatusServer.create(
-                        mControlLoop, mPlatform.readinessPath(), this::isReady, this::metrics);
+                        mControlLoop,
+                        mPlatform.readinessPath(),
+                        this::isReady,
+                        this::metrics,
+                        request ->
+                                CompletableFuture.supplyAsync(
+                                        () -> mRequestHandler.explain(request), mTrafficLoop));
         mEndpointDirectory =
                 EndpointDirectory.create(
                         clock, EventLoopTimers.of(mControlLoop), mLog, this::endpointsChanged);
--- a/gateway/src/main/java/org/sesamedeck/gateway/StatusConnection.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/StatusConnection.java
@@ -14,7 +14,7 @@
 
 /**
  * A connection to the status server. It is closed when its peer sends a body beyond the limit or
- * further requests without reading the responses.
+ * further requests without waiting for the response in progress or reading the earlier ones.
  */
 final class StatusConnection extends ChannelInboundHandlerAdapter {
     private static final int MAX_BODY_BYTES = 8 * 1_024;
@@ -24,6 +24,7 @@
     private HttpRequest mHead;
     private int mBodyBytes;
     private int mHeadBytes;
+    private boolean mIsResponding;
     private boolean mHasResponded;
 
     StatusConnection(StatusServer server) {
@@ -79,7 +80,9 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             HttpObject part = (HttpObject) message;
-            if (part.decoderResult().isFailure() || !context.channel().isWritable()) {
+            if (part.decoderResult().isFailure()
+                    || mIsResponding
+                    || !context.channel().isWritable()) {
                 context.close();
                 return;
             }
@@ -105,10 +108,16 @@
     }
 
     private void respond() {
-        FullHttpResponse response = mServer.responseFor(mHead.uri());
+        String uri = mHead.uri();
         boolean keepsAlive = HttpUtil.isKeepAlive(mHead);
         mHead = null;
         releaseHead();
+        mIsResponding = true;
+        mServer.responseFor(uri).thenAccept(response -> send(response, keepsAlive));
+    }
+
+    private void send(FullHttpResponse response, boolean keepsAlive) {
+        mIsResponding = false;
         mHasResponded = true;
         if (!keepsAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
--- a/gateway/src/main/java/org/sesamedeck/gateway/StatusServer.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/StatusServer.java
@@ -21,11 +21,16 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.sesamedeck.core.HostAddress;
+import org.sesamedeck.request.CallerRequest;
+import org.sesamedeck.request.RequestExplanation;
 
-/** HTTP server for readiness checks and metrics. */
+/** HTTP server for readiness checks, metrics and explanations of requests. */
 public final class StatusServer implements AutoCloseable {
     private static final String METRICS_PATH = "/metrics";
     private static final int MAX_HEAD_BYTES = 16 * 1_024;
@@ -43,6 +48,7 @@
     private final String mReadinessPath;
     private final BooleanSupplier mIsReady;
     private final Supplier<String> mMetrics;
+    private final ExplanationPage mExplanations;
     private final Set<StatusConnection> mConnections = new LinkedHashSet<>();
     private int mFieldBytes;
     private Channel mListener;
@@ -51,20 +57,28 @@
             EventLoop loop,
             String readinessPath,
             BooleanSupplier isReady,
-            Supplier<String> metrics) {
+            Supplier<String> metrics,
+            ExplanationPage explanations) {
         mLoop = loop;
         mReadinessPath = readinessPath;
         mIsReady = isReady;
         mMetrics = metrics;
+        mExplanations = explanations;
     }
 
-    /** Returns a server that does not listen yet. */
+    /**
+     * Returns a server that does not listen yet.
+     *
+     * @param explanations explains a request on whichever thread it needs
+     */
     public static StatusServer create(
             EventLoop loop,
             String readinessPath,
             BooleanSupplier isReady,
-            Supplier<String> metrics) {
-        return new StatusServer(loop, readinessPath, isReady, metrics);
+            Supplier<String> metrics,
+            Function<CallerRequest, CompletionStage<RequestExplanation>> explanations) {
+        return new StatusServer(
+                loop, readinessPath, isReady, metrics, new ExplanationPage(loop, explanations));
     }
 
     /**
@@ -161,7 +175,14 @@
         }
     }
 
-    FullHttpResponse responseFor(String path) {
+    /** Returns the response, which completes on the event loop. */
+    CompletionStage<FullHttpResponse> responseFor(String uri) {
+        return uri.startsWith(ExplanationPage.PATH + '?') || uri.equals(ExplanationPage.PATH)
+                ? mExplanations.respond(uri).thenApply(StatusServer::response)
+                : CompletableFuture.completedFuture(presentResponse(uri));
+    }
+
+    private FullHttpResponse presentResponse(String path) {
         if (path.equals(mReadinessPath)) {
             return mIsReady.getAsBoolean()
                     ? response(HttpResponseStatus.OK, "ready\n")
@@ -173,12 +194,16 @@
     }
 
     private static FullHttpResponse response(HttpResponseStatus status, String text) {
-        byte[] body = text.getBytes(StandardCharsets.UTF_8);
+        return response(StatusPage.text(status, text));
+    }
+
+    private static FullHttpResponse response(StatusPage page) {
+        byte[] body = page.text().getBytes(StandardCharsets.UTF_8);
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+                        HttpVersion.HTTP_1_1, page.status(), Unpooled.wrappedBuffer(body));
         response.headers()
-                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+                .set(HttpHeaderNames.CONTENT_TYPE, page.mediaType())
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         return response;
     }
