bin/sesamedeck explain shows where a request would go

The command asks one gateway process at its status address and prints the outcome and the candidates as a table or as JSON.

--- a/operator/src/main/java/org/sesamedeck/operator/OperatorMain.java
+++ b/operator/src/main/java/org/sesamedeck/operator/OperatorMain.java
@@ -14,7 +14,10 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
-/** Command line for operators: edits the lists, and reads status, audit trail and traces. */
+/**
+ * Command line for operators: edits the lists, and reads status, audit trail, traces and
+ * explanations.
+ */
 @Command(
         name = "sesamedeck",
         description = "Edits the two lists of a deployment and reads its status.",
@@ -34,6 +37,7 @@
         })
 public final class OperatorMain {
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration STATUS_TIMEOUT = Duration.ofSeconds(5);
 
     private OperatorMain() {}
 
@@ -58,6 +62,7 @@
                 .addSubcommand(StatusCommand.of(context))
                 .addSubcommand(AuditCommand.of(context))
                 .addSubcommand(new TraceCommand())
+                .addSubcommand(new ExplainCommand(new HttpStatusPageReader(STATUS_TIMEOUT)))
                 .setCaseInsensitiveEnumValuesAllowed(true)
                 .setExecutionExceptionHandler(
                         (failure, command, result) -> report(failure, command.getErr()));
