Confirmations of the store age by the time they are held up on their way

A process that is told by others keeps no watch call while a confirmation of the store is younger than 2.6 s. The age in a load message did not include the time that the datagram spent on its way. Behind a choked link whose packets arrive 3 s late, confirmations looked 3 s fresher than they were, and a change whose datagram was lost became known after the bound of 4 s.

Load messages carry the monotonic time of the sender. The receiver keeps the smallest difference between receipt and sending for each run of a sender, over 5 to 10 minutes, and adds the excess over it to the age. A minimum over one minute would let a link that is choked for longer look fast again. Messages without the time have no excess.

Three tests pass the new field to the constructor of LoadMessage.

--- a/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/LoadMessageCodec.java
@@ -36,7 +36,8 @@
                         .setIncarnation(message.incarnation())
                         .setSequence(message.sequence())
                         .setScope(scope(message.scope()))
-                        .setProcesses(message.processes());
+                        .setProcesses(message.processes())
+                        .setSentMillis(message.sentMillis());
         for (EndpointLoad load : message.loads()) {
             share.addEndpoints(
                     EndpointShare.newBuilder()
@@ -117,7 +118,8 @@
                 share.hasAccountUsage()
                         ? Optional.of(usage(share.getAccountUsage()))
                         : Optional.empty(),
-                share.getProcesses());
+                share.getProcesses(),
+                share.getSentMillis());
     }
 
     private static UsageSummary usage(AccountUsageShare share) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -282,7 +282,7 @@
             Optional<LoadMessage> load = LoadMessageCodec.decode(bytes);
             if (load.isPresent()) {
                 load.get().prefixUpdates().forEach(mRouter::applyPrefixUpdate);
-                mProgress.receive(load.get().storeProgress());
+                mProgress.receive(load.get());
                 mExchange.receive(load.get());
             } else {
                 mQuarantine.receive(PartReportCodec.decode(bytes, mClock.nanoTime()));
--- a/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
@@ -10,6 +10,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -17,6 +18,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sesamedeck.platform.ManualScheduler;
 import org.sesamedeck.routing.FleetProgress;
+import org.sesamedeck.routing.LoadMessage;
+import org.sesamedeck.routing.LoadScope;
 import org.sesamedeck.routing.StoreProgress;
 
 /** A fleet in which few processes follow the store with short waits is as fresh as each alone. */
@@ -48,6 +51,7 @@
         private FeedFollower<String> mFollower;
         private boolean mIsConnected = true;
         private int mOutages;
+        private Duration mLinkDelay = Duration.ZERO;
 
         Process(int number) {
             mNumber = number;
@@ -110,7 +114,9 @@
 
         private void tell() {
             List<StoreProgress> told = mProgress.toTell();
-            mScheduler.schedule(TELL_DELAY, () -> deliver(olderByTheDelay(told)));
+            long sentMillis = mScheduler.clock().nanoTime() / 1_000_000 + 1;
+            mScheduler.schedule(
+                    TELL_DELAY, () -> deliver(message(olderByTheDelay(told), sentMillis)));
             mScheduler.schedule(TELL_INTERVAL, this::tell);
         }
 
@@ -126,10 +132,32 @@
                     .toList();
         }
 
-        private void deliver(List<StoreProgress> told) {
+        private LoadMessage message(List<StoreProgress> told, long sentMillis) {
+            return new LoadMessage(
+                    name(),
+                    1,
+                    sentMillis,
+                    LoadScope.FLEET,
+                    List.of(),
+                    List.of(),
+                    told,
+                    Optional.empty(),
+                    1,
+                    sentMillis);
+        }
+
+        private void deliver(LoadMessage message) {
             mProcesses.stream()
                     .filter(other -> other != this && mIsConnected && other.mIsConnected)
-                    .forEach(other -> other.mProgress.receive(told));
+                    .forEach(other -> other.receiveAfterLinkDelay(message));
+        }
+
+        private void receiveAfterLinkDelay(LoadMessage message) {
+            if (mLinkDelay.isZero()) {
+                mProgress.receive(message);
+            } else {
+                mScheduler.schedule(mLinkDelay, () -> mProgress.receive(message));
+            }
         }
 
         void kill() {
@@ -282,6 +310,23 @@
         assertAllKnow(List.of(cutOff), "new");
     }
 
+    /** Guards against confirmations that look fresh after a choked link has held them up. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 200, 400, 800, 1_200, 1_600, 2_000, 3_000, 10_000})
+    void processBehindAChokedLinkReadsWithinTheBound(int chokedMillis) {
+        mIsSharing = true;
+        startFleet(0);
+        Process choked = mProcesses.get(PROCESSES - 1);
+        choked.mLinkDelay = Duration.ofMillis(100);
+        mScheduler.advance(Duration.ofSeconds(10));
+        choked.mLinkDelay = Duration.ofSeconds(3);
+        mScheduler.advance(Duration.ofMillis(chokedMillis));
+        mLossRatio = 1;
+        mStore.put("new", "value");
+        mScheduler.advance(BOUND);
+        assertAllKnow(List.of(choked), "new");
+    }
+
     /** Guards against the same when its connections have gone silent, too. */
     @ParameterizedTest
     @ValueSource(ints = {0, 200, 400, 600, 800, 1_000, 1_200, 1_400})
--- a/gateway/src/test/java/org/sesamedeck/gateway/LoadMessageCodecTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/LoadMessageCodecTest.java
@@ -47,7 +47,16 @@
 
     private static LoadMessage message(Optional<UsageSummary> usage) {
         return new LoadMessage(
-                "node-b", 7, 1, LoadScope.GROUP, List.of(), List.of(), List.of(), usage, 1);
+                "node-b",
+                7,
+                1,
+                LoadScope.GROUP,
+                List.of(),
+                List.of(),
+                List.of(),
+                usage,
+                1,
+                3_000_000_000L);
     }
 
     /** Guards against usage that is lost or changed on its way through the codec. */
--- a/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
@@ -173,7 +173,8 @@
                                 List.of(),
                                 List.of(),
                                 Optional.of(UsageSummary.of(List.of(usage))),
-                                1));
+                                1,
+                                0));
         peer.send(
                 new DatagramPacket(
                         bytes, bytes.length, InetAddress.getByName("127.0.0.1"), to.port()));
--- a/routing/src/main/java/org/sesamedeck/routing/FleetProgress.java
+++ b/routing/src/main/java/org/sesamedeck/routing/FleetProgress.java
@@ -31,11 +31,13 @@
 
     /**
      * Added to the age of each confirmation that is passed on, so that one that circulates between
-     * processes grows older at least as fast as time passes.
+     * processes grows older at least as fast as time passes. Time in a queue of the network is
+     * added to it, see {@link TransitDelays}.
      */
     private static final Duration HOP_AGE = Duration.ofMillis(100);
 
     private final Clock mClock;
+    private final TransitDelays mTransitDelays;
     private final Map<String, Progress> mByKind = new HashMap<>();
 
     /** Progress of one kind; times are monotonic, in nanoseconds. */
@@ -48,6 +50,7 @@
 
     private FleetProgress(Clock clock) {
         mClock = clock;
+        mTransitDelays = new TransitDelays(clock);
     }
 
     /** Returns the progress of a process that has read nothing yet. */
@@ -91,10 +94,11 @@
     }
 
     /** Records what another process has told. */
-    public void receive(List<StoreProgress> told) {
-        for (StoreProgress peer : told) {
+    public void receive(LoadMessage message) {
+        long delay = mTransitDelays.excessNanos(message) + HOP_AGE.toNanos();
+        for (StoreProgress peer : message.storeProgress()) {
             Progress progress = progress(peer.kind());
-            long confirmed = mClock.nanoTime() - peer.confirmedAgeNanos() - HOP_AGE.toNanos();
+            long confirmed = mClock.nanoTime() - peer.confirmedAgeNanos() - delay;
             boolean isNewer = progress.mConfirmedNanos.map(own -> confirmed - own > 0).orElse(true);
             if (isNewer) {
                 progress.mConfirmedNanos = Optional.of(confirmed);
--- a/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
@@ -27,6 +27,8 @@
  * error, because the other groups use the report of the better ranked one.
  */
 public final class LoadExchange {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     /** More updates than a relay gets between two messages; beyond it, the oldest are dropped. */
     private static final int MAX_PREFIX_UPDATES = 256;
 
@@ -36,8 +38,10 @@
     /** Spread over the groups, so that the loss of a failure domain leaves some of them. */
     private static final int STORE_WATCHERS = 4;
 
+    private final Clock mClock;
     private final String mSelf;
     private final long mIncarnation;
+    private final long mStartNanos;
     private final PeerLoads mProcesses;
     private final PeerLoads mGroups;
     private final PeerLoads mFleet;
@@ -55,8 +59,10 @@
     private long mSequence;
 
     private LoadExchange(Clock clock, String self, long incarnation) {
+        mClock = clock;
         mSelf = self;
         mIncarnation = incarnation;
+        mStartNanos = clock.nanoTime();
         mProcesses = PeerLoads.create(clock);
         mGroups = PeerLoads.create(clock);
         mFleet = PeerLoads.create(clock);
@@ -283,10 +289,16 @@
                         updates,
                         mStoreProgress,
                         usage,
-                        processes);
+                        processes,
+                        sentMillis());
         return new OutgoingLoad(message, recipients);
     }
 
+    /** Returns the time since the start of this exchange; never 0, which stands for unknown. */
+    private long sentMillis() {
+        return 1 + (mClock.nanoTime() - mStartNanos) / NANOS_PER_MILLI;
+    }
+
     /** Returns the members of this process's group that have sent to it recently. */
     private List<String> members() {
         return mTopology.ownGroup().stream()
--- a/routing/src/main/java/org/sesamedeck/routing/LoadMessage.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadMessage.java
@@ -16,6 +16,8 @@
  * @param storeProgress how far the fleet has followed the store, as the sender knows
  * @param usage usage of client accounts by the same processes; most messages carry none
  * @param processes number of processes that the load is summed over; 0 if unknown
+ * @param sentMillis monotonic time of the sender since a moment of its own, in milliseconds; 0 if
+ *     unknown
  */
 public record LoadMessage(
         String sender,
@@ -26,8 +28,9 @@
         List<PrefixUpdate> prefixUpdates,
         List<StoreProgress> storeProgress,
         Optional<UsageSummary> usage,
-        int processes) {
-    /** Returns a message of a single process without progress in the store and without usage. */
+        int processes,
+        long sentMillis) {
+    /** Returns a message of a single process without progress in the store, usage or time. */
     public LoadMessage(
             String sender,
             long incarnation,
@@ -44,6 +47,7 @@
                 prefixUpdates,
                 List.of(),
                 Optional.empty(),
-                1);
+                1,
+                0);
     }
 }
--- a/routing/src/test/java/org/sesamedeck/routing/UsageExchangeTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/UsageExchangeTest.java
@@ -77,7 +77,8 @@
                 List.of(),
                 List.of(),
                 Optional.of(usage),
-                1);
+                1,
+                0);
     }
 
     /**
