Changes of endpoints are taken from known peers and checked before they are passed on

Any host that reaches the datagram port could send changes, and a process passed them on before it had decoded them. A revision far above that of the events was taken over, too, and hid all later changes from the fleet.

Datagrams with changes are dropped unless their source address is that of a registered peer. The codec refuses revisions other than 0 <= base < revision. A process decodes changes before it passes them on; an event list that is empty, malformed or read at a store revision below the stated one is neither passed on nor taken over, and a process that it would bring news reads the store instead. Load messages are still accepted from any address.

The simulated store writes the last revision into its changes, as the real one does.

--- a/gateway/src/main/java/org/sesamedeck/gateway/ChangeSharing.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/ChangeSharing.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Passes changes of objects in the store on between the processes of a fleet. Each process sends
@@ -22,7 +23,10 @@
     private final AtomicLong mSent = new AtomicLong();
     private final AtomicLong mReceived = new AtomicLong();
     private final Map<String, Long> mSentRevisions = new HashMap<>();
-    private final Map<String, Consumer<SharedChanges>> mFollowers = new HashMap<>();
+    private final Map<String, Follower> mFollowers = new HashMap<>();
+
+    /** What one kind of objects is followed by. */
+    private record Follower(Predicate<SharedChanges> validity, Consumer<SharedChanges> receiver) {}
 
     /** Sends bytes to other processes. */
     interface Transport {
@@ -43,9 +47,15 @@
         mTransport = transport;
     }
 
-    /** Sets the follower of a kind of objects. */
-    void setFollower(String kind, Consumer<SharedChanges> follower) {
-        mFollowers.put(kind, follower);
+    /**
+     * Sets the follower of a kind of objects.
+     *
+     * @param validity whether changes can be read and contain what they claim; others are not
+     *     passed on
+     */
+    void setFollower(
+            String kind, Predicate<SharedChanges> validity, Consumer<SharedChanges> receiver) {
+        mFollowers.put(kind, new Follower(validity, receiver));
     }
 
     /** Sends changes that this process has read. */
@@ -55,14 +65,17 @@
         }
     }
 
-    /** Passes changes on that another process has sent. */
+    /** Passes valid changes on that another process has sent. */
     void receive(SharedChanges changes) {
-        if (!mFollowers.containsKey(changes.kind())) {
+        Follower follower = mFollowers.get(changes.kind());
+        if (follower == null) {
             return;
         }
         mReceived.incrementAndGet();
-        passOn(changes);
-        mFollowers.get(changes.kind()).accept(changes);
+        if (isUnsent(changes) && follower.validity().test(changes)) {
+            passOn(changes);
+        }
+        follower.receiver().accept(changes);
     }
 
     /** Adds the numbers of datagrams in the Prometheus text format; called from any thread. */
@@ -71,8 +84,12 @@
         text.value("sesamedeck_shared_changes_received_total", mReceived.get());
     }
 
+    private boolean isUnsent(SharedChanges changes) {
+        return changes.revision() > mSentRevisions.getOrDefault(changes.kind(), 0L);
+    }
+
     private void passOn(SharedChanges changes) {
-        if (changes.revision() <= mSentRevisions.getOrDefault(changes.kind(), 0L)) {
+        if (!isUnsent(changes)) {
             return;
         }
         Collection<String> recipients = mRecipients.apply(changes.sender());
--- a/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
@@ -140,7 +140,7 @@
 
     /** Starts following the feed. */
     public void start() {
-        mSchedule.setFollower(this::told);
+        mSchedule.setFollower(changes -> decode(changes).isPresent(), this::told);
         list();
         mTimers.schedule(CHECK_INTERVAL, this::checkWatch);
     }
@@ -192,18 +192,28 @@
             readTold();
             return;
         }
-        Feed.Changes<T> decoded;
-        try {
-            decoded = mFeed.decode(changes.source(), changes.revision());
-        } catch (SesamedeckException malformed) {
+        Optional<Feed.Changes<T>> decoded = decode(changes);
+        if (decoded.isEmpty()) {
             readTold();
             return;
         }
+        List<Feed.Item<T>> items = decoded.get().items();
         mToldRevision = OptionalLong.of(changes.revision());
         mChangedRevision = changes.revision();
         mSchedule.applied(changes.revision());
-        updateNames(decoded.items());
-        deliver(() -> mListener.changed(decoded.items()));
+        updateNames(items);
+        deliver(() -> mListener.changed(items));
+    }
+
+    /** Returns what was told; empty if it is malformed or does not reach the stated revision. */
+    private Optional<Feed.Changes<T>> decode(SharedChanges changes) {
+        try {
+            return Optional.of(mFeed.decode(changes.source(), changes.revision()))
+                    .filter(decoded -> decoded.revision() >= changes.revision())
+                    .filter(decoded -> !decoded.items().isEmpty());
+        } catch (SesamedeckException malformed) {
+            return Optional.empty();
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/sesamedeck/gateway/FleetWatchSchedule.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FleetWatchSchedule.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.sesamedeck.routing.FleetProgress;
 
 /**
@@ -136,8 +137,8 @@
     }
 
     @Override
-    public void setFollower(Consumer<SharedChanges> follower) {
-        mSharing.ifPresent(sharing -> sharing.setFollower(mKind, follower));
+    public void setFollower(Predicate<SharedChanges> validity, Consumer<SharedChanges> follower) {
+        mSharing.ifPresent(sharing -> sharing.setFollower(mKind, validity, follower));
     }
 
     @Override
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -276,7 +276,10 @@
                 return;
             }
             if (SharedChangesCodec.isSharedChanges(bytes)) {
-                SharedChangesCodec.decode(bytes).ifPresent(mChangeSharing::receive);
+                // Any host can send to this port, and changes are acted on as if the store told.
+                if (mPeers.containsValue(packet.sender())) {
+                    SharedChangesCodec.decode(bytes).ifPresent(mChangeSharing::receive);
+                }
                 return;
             }
             Optional<LoadMessage> load = LoadMessageCodec.decode(bytes);
--- a/gateway/src/main/java/org/sesamedeck/gateway/SharedChangesCodec.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/SharedChangesCodec.java
@@ -76,7 +76,7 @@
         }
     }
 
-    /** Returns the changes; empty for bytes of unrelated senders. */
+    /** Returns the changes; empty for bytes of unrelated senders and impossible revisions. */
     static Optional<SharedChanges> decode(byte[] bytes) {
         if (!isSharedChanges(bytes)) {
             return Optional.empty();
@@ -84,6 +84,12 @@
         try {
             SharedChangesDatagram datagram =
                     SharedChangesDatagram.parseFrom(Arrays.copyOfRange(bytes, 1, bytes.length));
+            boolean isPossible =
+                    datagram.getBaseRevision() >= 0
+                            && datagram.getBaseRevision() < datagram.getRevision();
+            if (!isPossible) {
+                return Optional.empty();
+            }
             return Optional.of(
                     new SharedChanges(
                             datagram.getSender(),
--- a/gateway/src/main/java/org/sesamedeck/gateway/WatchSchedule.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/WatchSchedule.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** Decides how long the watch calls of one follower wait, and when one is to be given up. */
 interface WatchSchedule {
@@ -43,7 +44,8 @@
             public void share(long baseRevision, long revision, byte[] source) {}
 
             @Override
-            public void setFollower(Consumer<SharedChanges> follower) {}
+            public void setFollower(
+                    Predicate<SharedChanges> validity, Consumer<SharedChanges> follower) {}
 
             @Override
             public void applied(long revision) {}
@@ -97,8 +99,13 @@
      */
     void share(long baseRevision, long revision, byte[] source);
 
-    /** Sets what receives changes that other processes have read. */
-    void setFollower(Consumer<SharedChanges> follower);
+    /**
+     * Sets what receives changes that other processes have read.
+     *
+     * @param validity whether changes can be read and contain what they claim; others are not
+     *     passed on
+     */
+    void setFollower(Predicate<SharedChanges> validity, Consumer<SharedChanges> follower);
 
     /**
      * Records that changes were taken over from another process.
--- a/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -39,6 +41,7 @@
     private final SimulatedStore<String> mStore = new SimulatedStore<>(mScheduler);
     private final List<Process> mProcesses = new ArrayList<>();
     private final Random mRandom = new Random(1);
+    private final Set<Long> mSentRevisions = new HashSet<>();
     private double mLossRatio;
     private boolean mIsSharing;
 
@@ -70,6 +73,7 @@
         }
 
         private void sendChanges(byte[] bytes, Collection<String> recipients) {
+            mSentRevisions.add(SharedChangesCodec.decode(bytes).orElseThrow().revision());
             for (Process other : mProcesses) {
                 boolean isLost = !mIsConnected || mRandom.nextDouble() < mLossRatio;
                 if (other != this && recipients.contains(other.name()) && !isLost) {
@@ -310,6 +314,23 @@
         assertAllKnow(List.of(cutOff), "new");
     }
 
+    /** Guards against a revision above that of the changes, which would hide all later ones. */
+    @Test
+    void changesWithAFalseRevisionAreNeitherTakenOverNorPassedOn() {
+        mIsSharing = true;
+        mStore.put("old", "value");
+        startFleet(0);
+        byte[] source = SimulatedStore.source(0, 1);
+        byte[] bytes =
+                SharedChangesCodec.encode(
+                        new SharedChanges("0", mStore.kind(), 1, 1_000_000, source));
+        mProcesses.forEach(process -> process.receiveChanges(bytes));
+        mStore.put("new", "value");
+        mScheduler.advance(BOUND);
+        assertAllKnow(mProcesses, "new");
+        assertThat(mSentRevisions, not(hasItem(1_000_000L)));
+    }
+
     /** Guards against confirmations that look fresh after a choked link has held them up. */
     @ParameterizedTest
     @ValueSource(ints = {0, 200, 400, 800, 1_200, 1_600, 2_000, 3_000, 10_000})
--- a/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/PeerExchangeTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -142,6 +143,47 @@
         }
     }
 
+    /** Guards against changes of endpoints that any host in the network could make up. */
+    @Test
+    void changesAreTakenFromKnownPeersOnly() throws Exception {
+        EventLoop loop =
+                (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        HostAddress address = HostAddress.of("127.0.0.1", freePort());
+        InetAddress local = InetAddress.getByName("127.0.0.1");
+        Set<Long> received = ConcurrentHashMap.newKeySet();
+        try (DatagramSocket peer = new DatagramSocket(0, local);
+                DatagramSocket stranger = new DatagramSocket(0, local);
+                PeerExchange exchange = exchange(loop, address)) {
+            exchange.changed(
+                    List.of(
+                            new Feed.Item<>(
+                                    "node-b",
+                                    Optional.of(HostAddress.of("127.0.0.1", peer.getLocalPort())),
+                                    false)));
+            WatchPace pace = WatchPace.within(Duration.ofSeconds(4), Duration.ofSeconds(4));
+            exchange.sharingWatchSchedule("things", pace, Duration.ofSeconds(4))
+                    .setFollower(changes -> true, changes -> received.add(changes.revision()));
+            exchange.start();
+            long until = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+            while (received.isEmpty() && System.nanoTime() < until) {
+                sendChanges(stranger, address, 8);
+                sendChanges(peer, address, 9);
+                Thread.sleep(50);
+            }
+            assertThat(received, is(Set.of(9L)));
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void sendChanges(DatagramSocket from, HostAddress to, long revision)
+            throws Exception {
+        byte[] bytes =
+                SharedChangesCodec.encode(
+                        new SharedChanges("node-b", "things", 7, revision, new byte[] {1}));
+        from.send(new DatagramPacket(bytes, bytes.length, to.toSocketAddress()));
+    }
+
     private static List<String> accounts(AccountShares shares) {
         return shares.total().heaviest().stream().map(AccountUsage::account).toList();
     }
--- a/gateway/src/test/java/org/sesamedeck/gateway/SharedChangesCodecTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/SharedChangesCodecTest.java
@@ -43,4 +43,20 @@
     void damagedDatagramIsIgnored() {
         assertThat(SharedChangesCodec.decode(new byte[] {1, -1, -1}), is(Optional.empty()));
     }
+
+    /** Guards against changes that continue nothing or hide later ones. */
+    @Test
+    void changesWithImpossibleRevisionsAreIgnored() {
+        assertThat(decoded(-1, 9), is(Optional.empty()));
+        assertThat(decoded(9, 9), is(Optional.empty()));
+        assertThat(decoded(9, 8), is(Optional.empty()));
+        assertThat(decoded(9, Long.MIN_VALUE), is(Optional.empty()));
+        assertThat(decoded(0, 1).isPresent(), is(true));
+    }
+
+    private static Optional<SharedChanges> decoded(long baseRevision, long revision) {
+        return SharedChangesCodec.decode(
+                SharedChangesCodec.encode(
+                        new SharedChanges("node", "things", baseRevision, revision, new byte[1])));
+    }
 }
--- a/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
@@ -55,7 +55,7 @@
             } else if (!mIsLost) {
                 mWatches.remove(this);
                 long last = changes.isEmpty() ? 0 : mChangedRevision;
-                byte[] source = ByteBuffer.allocate(Long.BYTES).putLong(mRevision).array();
+                byte[] source = source(mRevision, mChanges.size());
                 mAnswer.complete(new Changes<>(changes, mChanges.size(), false, last, source));
             }
         }
@@ -148,8 +148,15 @@
 
     @Override
     public Changes<T> decode(byte[] source, long revision) {
-        long base = ByteBuffer.wrap(source).getLong();
-        return new Changes<>(changesBetween(base, revision), revision, false, revision);
+        ByteBuffer buffer = ByteBuffer.wrap(source);
+        long base = buffer.getLong();
+        long last = buffer.getLong();
+        return new Changes<>(changesBetween(base, last), last, false, revision);
+    }
+
+    /** Returns changes in the format of this store. */
+    static byte[] source(long base, long revision) {
+        return ByteBuffer.allocate(2 * Long.BYTES).putLong(base).putLong(revision).array();
     }
 
     private List<Item<T>> changesBetween(long base, long revision) {
