One call that is cut off is no outage for a process that was told by others

A process that is told makes its first own call 1.2 to 2.6 s after the last confirmation. If the store cut that call off, the outage was counted from the last confirmation and was at once longer than 1 s, so that entries removed without notice stayed in use for 2 s.

A first failure that is a cut off call no longer counts that time. A failure of another kind, or a second one, counts from the last confirmation as before.

--- a/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/FeedFollower.java
@@ -389,8 +389,9 @@
         boolean wasCutOff =
                 exception.code() == ResultCode.STORE_OUTCOME_UNKNOWN
                         && callTime.compareTo(wait.plus(ANSWER_TIME)) < 0;
-        if (mWasTold) {
-            // Without calls of its own, this process has not noticed when the failures began.
+        if (mWasTold && !(isFirst && wasCutOff)) {
+            // Without calls of its own, this process has not noticed when the failures began. One
+            // call that is cut off shows no outage, however long ago the last confirmation is.
             mOutage.begunBefore(mSchedule.timeSinceConfirmation());
         }
         if (mOutage.failed(wasCutOff)) {
--- a/gateway/src/main/java/org/sesamedeck/gateway/OutageDetector.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/OutageDetector.java
@@ -38,12 +38,13 @@
     }
 
     /**
-     * Records that the first call after a time in which no process heard from the store failed.
+     * Records that calls have failed since the store was last heard of. Has no effect if the first
+     * failure was earlier.
      *
      * @param since time since the store was last heard of
      */
     void begunBefore(Duration since) {
-        if (!isFailing()) {
+        if (!isFailing() || failingTime().compareTo(since) < 0) {
             mFailingSinceNanos = Optional.of(mClock.nanoTime() - since.toNanos());
         }
     }
--- a/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
@@ -33,6 +33,7 @@
     private final List<Watch> mWatches = new ArrayList<>();
     private boolean mIsSilent;
     private boolean mIsRefusing;
+    private boolean mIsNextCutOff;
     private int mCalls;
     private int mFirstRevision;
     private long mChangedRevision;
@@ -141,6 +142,11 @@
         List.copyOf(mWatches).forEach(watch -> watch.fail(ResultCode.STORE_OUTCOME_UNKNOWN));
     }
 
+    /** Closes the connection of the next watch as soon as it has been called. */
+    void cutOffNextWatch() {
+        mIsNextCutOff = true;
+    }
+
     @Override
     public String kind() {
         return "things";
@@ -203,6 +209,11 @@
             mScheduler.schedule(mResponseTime, () -> watch.fail(ResultCode.STORE_UNAVAILABLE));
             return watch.mAnswer;
         }
+        if (mIsNextCutOff) {
+            mIsNextCutOff = false;
+            mScheduler.schedule(mResponseTime, () -> watch.fail(ResultCode.STORE_OUTCOME_UNKNOWN));
+            return watch.mAnswer;
+        }
         watch.answerIfChanged();
         mScheduler.schedule(timeout.plus(mResponseTime), watch::answer);
         mScheduler.schedule(
