--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -276,13 +276,16 @@
                 return;
             }
             if (SharedChangesCodec.isSharedChanges(bytes)) {
-                SharedChangesCodec.decode(bytes).ifPresent(mChangeSharing::receive);
+                // Any host can send to this port, and changes are acted on as if the store told.
+                if (mPeers.containsValue(packet.sender())) {
+                    SharedChangesCodec.decode(bytes).ifPresent(mChangeSharing::receive);
+                }
                 return;
             }
             Optional<LoadMessage> load = LoadMessageCodec.decode(bytes);
             if (load.isPresent()) {
                 load.get().prefixUpdates().forEach(mRouter::applyPrefixUpdate);
-                mProgress.receive(load.get().storeProgress());
+                mProgress.receive(load.get());
                 mExchange.receive(load.get());
             } else {
                 mQuarantine.receive(PartReportCodec.decode(bytes, mClock.nanoTime()));
--- a/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
@@ -2,14 +2,17 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -17,6 +20,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sesamedeck.platform.ManualScheduler;
 import org.sesamedeck.routing.FleetProgress;
+import org.sesamedeck.routing.LoadMessage;
+import org.sesamedeck.routing.LoadScope;
 import org.sesamedeck.routing.StoreProgress;
 
 /** A fleet in which few processes follow the store with short waits is as fresh as each alone. */
@@ -36,6 +41,7 @@
     private final SimulatedStore<String> mStore = new SimulatedStore<>(mScheduler);
     private final List<Process> mProcesses = new ArrayList<>();
     private final Random mRandom = new Random(1);
+    private final Set<Long> mSentRevisions = new HashSet<>();
     private double mLossRatio;
     private boolean mIsSharing;
 
@@ -48,6 +54,7 @@
         private FeedFollower<String> mFollower;
         private boolean mIsConnected = true;
         private int mOutages;
+        private Duration mLinkDelay = Duration.ZERO;
 
         Process(int number) {
             mNumber = number;
@@ -66,6 +73,7 @@
         }
 
         private void sendChanges(byte[] bytes, Collection<String> recipients) {
+            mSentRevisions.add(SharedChangesCodec.decode(bytes).orElseThrow().revision());
             for (Process other : mProcesses) {
                 boolean isLost = !mIsConnected || mRandom.nextDouble() < mLossRatio;
                 if (other != this && recipients.contains(other.name()) && !isLost) {
@@ -110,7 +118,9 @@
 
         private void tell() {
             List<StoreProgress> told = mProgress.toTell();
-            mScheduler.schedule(TELL_DELAY, () -> deliver(olderByTheDelay(told)));
+            long sentMillis = mScheduler.clock().nanoTime() / 1_000_000 + 1;
+            mScheduler.schedule(
+                    TELL_DELAY, () -> deliver(message(olderByTheDelay(told), sentMillis)));
             mScheduler.schedule(TELL_INTERVAL, this::tell);
         }
 
@@ -126,10 +136,32 @@
                     .toList();
         }
 
-        private void deliver(List<StoreProgress> told) {
+        private LoadMessage message(List<StoreProgress> told, long sentMillis) {
+            return new LoadMessage(
+                    name(),
+                    1,
+                    sentMillis,
+                    LoadScope.FLEET,
+                    List.of(),
+                    List.of(),
+                    told,
+                    Optional.empty(),
+                    1,
+                    sentMillis);
+        }
+
+        private void deliver(LoadMessage message) {
             mProcesses.stream()
                     .filter(other -> other != this && mIsConnected && other.mIsConnected)
-                    .forEach(other -> other.mProgress.receive(told));
+                    .forEach(other -> other.receiveAfterLinkDelay(message));
+        }
+
+        private void receiveAfterLinkDelay(LoadMessage message) {
+            if (mLinkDelay.isZero()) {
+                mProgress.receive(message);
+            } else {
+                mScheduler.schedule(mLinkDelay, () -> mProgress.receive(message));
+            }
         }
 
         void kill() {
@@ -282,6 +314,40 @@
         assertAllKnow(List.of(cutOff), "new");
     }
 
+    /** Guards against a revision above that of the changes, which would hide all later ones. */
+    @Test
+    void changesWithAFalseRevisionAreNeitherTakenOverNorPassedOn() {
+        mIsSharing = true;
+        mStore.put("old", "value");
+        startFleet(0);
+        byte[] source = SimulatedStore.source(0, 1);
+        byte[] bytes =
+                SharedChangesCodec.encode(
+                        new SharedChanges("0", mStore.kind(), 1, 1_000_000, source));
+        mProcesses.forEach(process -> process.receiveChanges(bytes));
+        mStore.put("new", "value");
+        mScheduler.advance(BOUND);
+        assertAllKnow(mProcesses, "new");
+        assertThat(mSentRevisions, not(hasItem(1_000_000L)));
+    }
+
+    /** Guards against confirmations that look fresh after a choked link has held them up. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 200, 400, 800, 1_200, 1_600, 2_000, 3_000, 10_000})
+    void processBehindAChokedLinkReadsWithinTheBound(int chokedMillis) {
+        mIsSharing = true;
+        startFleet(0);
+        Process choked = mProcesses.get(PROCESSES - 1);
+        choked.mLinkDelay = Duration.ofMillis(100);
+        mScheduler.advance(Duration.ofSeconds(10));
+        choked.mLinkDelay = Duration.ofSeconds(3);
+        mScheduler.advance(Duration.ofMillis(chokedMillis));
+        mLossRatio = 1;
+        mStore.put("new", "value");
+        mScheduler.advance(BOUND);
+        assertAllKnow(List.of(choked), "new");
+    }
+
     /** Guards against the same when its connections have gone silent, too. */
     @ParameterizedTest
     @ValueSource(ints = {0, 200, 400, 600, 800, 1_000, 1_200, 1_400})
--- a/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/SimulatedStore.java
@@ -33,6 +33,7 @@
     private final List<Watch> mWatches = new ArrayList<>();
     private boolean mIsSilent;
     private boolean mIsRefusing;
+    private boolean mIsNextCutOff;
     private int mCalls;
     private int mFirstRevision;
     private long mChangedRevision;
@@ -55,7 +56,7 @@
             } else if (!mIsLost) {
                 mWatches.remove(this);
                 long last = changes.isEmpty() ? 0 : mChangedRevision;
-                byte[] source = ByteBuffer.allocate(Long.BYTES).putLong(mRevision).array();
+                byte[] source = source(mRevision, mChanges.size());
                 mAnswer.complete(new Changes<>(changes, mChanges.size(), false, last, source));
             }
         }
@@ -141,6 +142,11 @@
         List.copyOf(mWatches).forEach(watch -> watch.fail(ResultCode.STORE_OUTCOME_UNKNOWN));
     }
 
+    /** Closes the connection of the next watch as soon as it has been called. */
+    void cutOffNextWatch() {
+        mIsNextCutOff = true;
+    }
+
     @Override
     public String kind() {
         return "things";
@@ -148,8 +154,15 @@
 
     @Override
     public Changes<T> decode(byte[] source, long revision) {
-        long base = ByteBuffer.wrap(source).getLong();
-        return new Changes<>(changesBetween(base, revision), revision, false, revision);
+        ByteBuffer buffer = ByteBuffer.wrap(source);
+        long base = buffer.getLong();
+        long last = buffer.getLong();
+        return new Changes<>(changesBetween(base, last), last, false, revision);
+    }
+
+    /** Returns changes in the format of this store. */
+    static byte[] source(long base, long revision) {
+        return ByteBuffer.allocate(2 * Long.BYTES).putLong(base).putLong(revision).array();
     }
 
     private List<Item<T>> changesBetween(long base, long revision) {
@@ -196,6 +209,11 @@
             mScheduler.schedule(mResponseTime, () -> watch.fail(ResultCode.STORE_UNAVAILABLE));
             return watch.mAnswer;
         }
+        if (mIsNextCutOff) {
+            mIsNextCutOff = false;
+            mScheduler.schedule(mResponseTime, () -> watch.fail(ResultCode.STORE_OUTCOME_UNKNOWN));
+            return watch.mAnswer;
+        }
         watch.answerIfChanged();
         mScheduler.schedule(timeout.plus(mResponseTime), watch::answer);
         mScheduler.schedule(
