Shared changes are sent to their recipients in random order

A slow link drops the last datagrams of a burst. Changes were sent in the order of names, so that the same processes lost them each time and read the store. The order is random now, as that of prompt part reports is.

--- a/gateway/src/main/java/org/sesamedeck/gateway/ChangeSharing.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/ChangeSharing.java
@@ -1,8 +1,12 @@
 package org.sesamedeck.gateway;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -19,6 +23,7 @@
 
     private final String mSelf;
     private final Function<String, Collection<String>> mRecipients;
+    private final Random mRandom;
     private final Transport mTransport;
     private final AtomicLong mSent = new AtomicLong();
     private final AtomicLong mReceived = new AtomicLong();
@@ -39,11 +44,16 @@
      *
      * @param recipients returns the processes to which changes that a process has sent are passed
      *     on from here
+     * @param random chooses the order of recipients
      */
     ChangeSharing(
-            String self, Function<String, Collection<String>> recipients, Transport transport) {
+            String self,
+            Function<String, Collection<String>> recipients,
+            Random random,
+            Transport transport) {
         mSelf = self;
         mRecipients = recipients;
+        mRandom = random;
         mTransport = transport;
     }
 
@@ -92,7 +102,7 @@
         if (!isUnsent(changes)) {
             return;
         }
-        Collection<String> recipients = mRecipients.apply(changes.sender());
+        List<String> recipients = new ArrayList<>(mRecipients.apply(changes.sender()));
         if (recipients.isEmpty()) {
             return;
         }
@@ -106,6 +116,10 @@
                         changes.source());
         byte[] bytes = SharedChangesCodec.encode(own);
         if (bytes.length <= MAX_BYTES) {
+            // A slow link drops the last datagrams of a burst, which must not always be those to
+            // the
+            // same process.
+            Collections.shuffle(recipients, mRandom);
             mSent.addAndGet(recipients.size());
             mTransport.send(bytes, recipients);
         }
--- a/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/PeerExchange.java
@@ -103,7 +103,10 @@
         mProgress = FleetProgress.create(clock);
         mChangeSharing =
                 new ChangeSharing(
-                        node, mExchange::recipientsOfChanges, (bytes, to) -> sendAtOnce(bytes, to));
+                        node,
+                        mExchange::recipientsOfChanges,
+                        mRandom,
+                        (bytes, to) -> sendAtOnce(bytes, to));
     }
 
     /** Sets what measures the usage of client accounts; must be called before the start. */
--- a/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/FleetFreshnessTest.java
@@ -59,7 +59,11 @@
         Process(int number) {
             mNumber = number;
             mSharing =
-                    new ChangeSharing(String.valueOf(number), this::recipients, this::sendChanges);
+                    new ChangeSharing(
+                            String.valueOf(number),
+                            this::recipients,
+                            new Random(number),
+                            this::sendChanges);
         }
 
         /** The processes with short waits relay to all others. */
--- a/gateway/src/test/java/org/sesamedeck/gateway/ToldProcessOutageTest.java
+++ b/gateway/src/test/java/org/sesamedeck/gateway/ToldProcessOutageTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.sesamedeck.platform.ManualScheduler;
@@ -64,7 +65,9 @@
                         () -> false,
                         () -> false);
         schedule.enableSharing(
-                new ChangeSharing("own", sender -> List.of(), (bytes, recipients) -> {}), BOUND);
+                new ChangeSharing(
+                        "own", sender -> List.of(), new Random(1), (bytes, recipients) -> {}),
+                BOUND);
         mStore.put("first", "value");
         mProgress.receive(confirmation());
         FeedFollower.create(
