The entry process limits the optimizing compiler to loops over bytes

Cause: not buffers (direct ones take 2.5 MB, stacks 8 MB) but C2. Compiler arenas peaked at 55 MB with 7 processors, malloc keeps them for each thread, and the JVM starts more C2 threads the more processors it sees. The kind REQUESTS_AHEAD_UNREAD takes 208 MB with 2 processors, 238 with 7, 336 with 16 and 352 with 48 (-XX:ActiveProcessorCount); with C1 only 167 with 16.

Change: at its start the process adds compiler directives (JEP 165, through the DiagnosticCommand MBean) that leave only the loops over bytes to C2 and all other code to C1. "[jvm] optimized-code = all" takes the limit away.

Evidence: the new test memoryDoesNotGrowWithProcessors (48 processors) failed before with 329 MB and passes; all 15 tests of CallerCrowdTest pass. Peaks of the 14 kinds: 182 to 238 MB before, 159 to 192 after with 7 processors; 168 to 223 after with 48. All of org.sesamedeck in C2: 290 MB.

The assertions of CallerCrowdTest now name the kind of crowd.

--- a/daemon/src/main/java/org/sesamedeck/daemon/BaseDaemon.java
+++ b/daemon/src/main/java/org/sesamedeck/daemon/BaseDaemon.java
@@ -49,6 +49,9 @@
         return Long.MAX_VALUE;
     }
 
+    /** Prepares the process before any component is built; nothing unless a daemon needs it. */
+    protected void prepare(Settings settings) {}
+
     /**
      * Builds and registers the components of the daemon. The lifecycle of the environment manages
      * those that need closing.
@@ -78,6 +81,7 @@
         Bootstrap<DaemonConfiguration> bootstrap = new Bootstrap<>(this);
         initialize(bootstrap);
         configuration.getLoggingFactory().configure(bootstrap.getMetricRegistry(), getName());
+        prepare(mSettings);
         try {
             new DirectServerCommand(this).start(bootstrap, configuration);
         } catch (Exception failure) {
--- a/entry/src/main/java/org/sesamedeck/entry/EntryMain.java
+++ b/entry/src/main/java/org/sesamedeck/entry/EntryMain.java
@@ -23,6 +23,7 @@
 import org.sesamedeck.core.Settings;
 import org.sesamedeck.daemon.BaseDaemon;
 import org.sesamedeck.daemon.Drainable;
+import org.sesamedeck.daemon.OptimizingCompiler;
 import org.sesamedeck.endpoint.EndpointClient;
 import org.sesamedeck.endpoint.LoadPoller;
 import org.sesamedeck.entry.control.ControlClient;
@@ -31,6 +32,17 @@
 
 /** The data-path process: serves callers and relays their requests to endpoints. */
 public final class EntryMain extends BaseDaemon {
+    /**
+     * Code that loops over the bytes of requests and responses. Other classes of the data path are
+     * left out because the compiler includes the libraries that they call, and its memory grows.
+     */
+    private static final List<String> LOOPS_OVER_BYTES =
+            List.of(
+                    "com/fasterxml/jackson/core/*.*",
+                    "org/sesamedeck/endpoint/EventReader.*",
+                    "org/sesamedeck/caller/BodyReader.*",
+                    "org/sesamedeck/caller/FowlerNollVo.*");
+
     private EntryMain() {}
 
     /** Returns a daemon that has not been started. */
@@ -63,6 +75,13 @@
         return settings.get(EntrySettings.BODY_MEMORY);
     }
 
+    @Override
+    protected void prepare(Settings settings) {
+        if (settings.get(EntrySettings.OPTIMIZED_CODE).equals(EntrySettings.HOT_LOOPS)) {
+            OptimizingCompiler.limitTo(LOOPS_OVER_BYTES);
+        }
+    }
+
     @Override
     protected Drainable start(Settings settings, Environment environment) {
         Injector injector = Guice.createInjector(new EntryModule(settings, environment.metrics()));
--- a/entry/src/main/java/org/sesamedeck/entry/EntrySettings.java
+++ b/entry/src/main/java/org/sesamedeck/entry/EntrySettings.java
@@ -9,6 +9,11 @@
 /** Settings of the entry process, in addition to those that all daemons share. */
 public final class EntrySettings {
     private static final String REQUESTS = "requests";
+    private static final String ALL_CODE = "all";
+
+    /** Value of {@link #OPTIMIZED_CODE} that limits the optimizing compiler. */
+    static final String HOT_LOOPS = "hot-loops";
+
     private static final int MIN_KEY_CHARACTERS = 16;
     private static final long MEBIBYTE = 1L << 20;
 
@@ -91,6 +96,18 @@
                     "60s",
                     "Maximum time until the response to a request must have started.");
 
+    /** Code that the optimizing compiler of the JVM compiles. */
+    public static final Setting<String> OPTIMIZED_CODE =
+            Setting.optional(
+                    "jvm",
+                    "optimized-code",
+                    SettingTypes.oneOf(HOT_LOOPS, ALL_CODE),
+                    HOT_LOOPS,
+                    "Code that the optimizing compiler (C2) of the JVM compiles: the loops over the"
+                            + " bytes of requests and responses, or all code, whose"
+                            + " compilation takes more memory outside the heap the more processors"
+                            + " the host has.");
+
     private EntrySettings() {}
 
     /** Returns the settings above, in the order of the settings reference. */
@@ -104,6 +121,7 @@
                 BODY_TIMEOUT,
                 BODY_MEMORY,
                 MAX_OUTPUT_TOKENS,
-                DEADLINE);
+                DEADLINE,
+                OPTIMIZED_CODE);
     }
 }
--- a/entry/src/test/java/org/sesamedeck/entry/CallerCrowdTest.java
+++ b/entry/src/test/java/org/sesamedeck/entry/CallerCrowdTest.java
@@ -43,6 +43,8 @@
 
     private static final int MAX_DESCRIPTORS = DESCRIPTORS - 20;
 
+    private static final int PROCESSORS = 48;
+
     private static final long SENDING_MILLIS = 3_000;
 
     @TempDir Path mDirectory;
@@ -64,7 +66,31 @@
         assertServesOthersBeside(Kind.MANY_JSON_FIELDS);
     }
 
+    /**
+     * Guards against memory that grows with the number of processors, such as that of the threads
+     * of the JVM's compilers, under the crowd that makes most code hot.
+     */
+    @Test
+    void memoryDoesNotGrowWithProcessors() throws Exception {
+        assertServesOthersBeside(
+                Kind.REQUESTS_AHEAD_UNREAD,
+                control ->
+                        EntryProcess.startOnProcessors(
+                                mDirectory, control, HEAP_MEGABYTES, DESCRIPTORS, PROCESSORS));
+    }
+
     private void assertServesOthersBeside(Kind kind) throws Exception {
+        assertServesOthersBeside(
+                kind,
+                control -> EntryProcess.start(mDirectory, control, HEAP_MEGABYTES, DESCRIPTORS));
+    }
+
+    /** Starts an entry process for a control process on the given port. */
+    private interface Starter {
+        EntryProcess start(int controlPort) throws IOException;
+    }
+
+    private void assertServesOthersBeside(Kind kind, Starter starter) throws Exception {
         boolean isSmall = kind == Kind.SILENT || kind == Kind.BODY_BEGUN || kind == Kind.SLOW_HEADS;
         int callers = isSmall ? SILENT_CALLERS_PER_DOOR : CALLERS_PER_DOOR;
         try (FakeEngine engine = new FakeEngine();
@@ -73,10 +99,8 @@
                         new FakeControl()
                                 .withEngine("engine-1", engine.port())
                                 .withService("service-1", service.port());
-                EntryProcess entry =
-                        EntryProcess.start(
-                                mDirectory, control.port(), HEAP_MEGABYTES, DESCRIPTORS)) {
-            assertServes(entry, "before the crowd");
+                EntryProcess entry = starter.start(control.port())) {
+            assertServes(entry, "before the crowd " + kind);
             List<Door> doors =
                     List.of(
                             new Door(entry.port(), EntryFixture.CHAT_PATH),
@@ -87,9 +111,9 @@
                             new Door(entry.adminPort(), "/tasks/log-level"));
             try (CallerCrowd crowd = CallerCrowd.of(kind, callers, doors)) {
                 crowd.awaitSent(SENDING_MILLIS);
-                assertServes(entry, "beside the crowd");
+                assertServes(entry, "beside the crowd " + kind);
             }
-            assertServes(entry, "after the crowd");
+            assertServes(entry, "after the crowd " + kind);
         }
     }
 
--- a/entry/src/test/java/org/sesamedeck/entry/EntryProcess.java
+++ b/entry/src/test/java/org/sesamedeck/entry/EntryProcess.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -26,14 +28,20 @@
     private final Path mFolder;
     private final Process mProcess;
 
-    private EntryProcess(Path folder, int controlPort, int heapMegabytes, int descriptors)
+    private EntryProcess(
+            Path folder,
+            int controlPort,
+            int heapMegabytes,
+            int descriptors,
+            List<String> moreOptions)
             throws IOException {
         mFolder = folder;
         Path settings = folder.resolve("entry.ini");
         Files.writeString(settings, settings(controlPort));
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        mProcess =
-                new ProcessBuilder(
+        List<String> command =
+                new ArrayList<>(
+                        List.of(
                                 "bash",
                                 "-c",
                                 "ulimit -n " + descriptors + " && exec \"$@\"",
@@ -41,11 +49,16 @@
                                 java,
                                 "-Xmx" + heapMegabytes + "m",
                                 "-XX:+UseSerialGC",
-                                "-XX:+ExitOnOutOfMemoryError",
-                                "-cp",
-                                System.getProperty("java.class.path"),
-                                EntryMain.class.getName(),
-                                settings.toString())
+                                "-XX:+ExitOnOutOfMemoryError"));
+        command.addAll(moreOptions);
+        command.addAll(
+                List.of(
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        EntryMain.class.getName(),
+                        settings.toString()));
+        mProcess =
+                new ProcessBuilder(command)
                         .redirectErrorStream(true)
                         .redirectOutput(folder.resolve("log").toFile())
                         .start();
@@ -53,7 +66,19 @@
 
     static EntryProcess start(Path folder, int controlPort, int heapMegabytes, int descriptors)
             throws IOException {
-        return new EntryProcess(folder, controlPort, heapMegabytes, descriptors);
+        return new EntryProcess(folder, controlPort, heapMegabytes, descriptors, List.of());
+    }
+
+    /** Starts a process that sees a number of processors other than that of the machine. */
+    static EntryProcess startOnProcessors(
+            Path folder, int controlPort, int heapMegabytes, int descriptors, int processors)
+            throws IOException {
+        return new EntryProcess(
+                folder,
+                controlPort,
+                heapMegabytes,
+                descriptors,
+                List.of("-XX:ActiveProcessorCount=" + processors));
     }
 
     /** The timeouts are longer than the test, so that they do not end what limits must end. */
