--- a/routing/src/test/java/org/sesamedeck/routing/EndpointSuspicionTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/EndpointSuspicionTest.java
@@ -75,4 +75,81 @@
         pass(200);
         assertThat(mEngine.isActive(), is(false));
     }
+
+    /** Guards against an endpoint that responds again long before it is used. */
+    @Test
+    void suspicionLastsFourSecondsAtMost() {
+        for (int i = 0; i < 10; i++) {
+            mEngine.lost();
+            pass(4_001);
+            assertThat(mEngine.isActive(), is(false));
+        }
+    }
+
+    /** Guards against intervals that stay long after a time without losses. */
+    @Test
+    void laterFailureIsSuspectedForTheFirstIntervalAgain() {
+        mEngine.lost();
+        pass(1_500);
+        mEngine.lost();
+        pass(10_000);
+        mEngine.lost();
+        pass(1_001);
+        assertThat(mEngine.isActive(), is(false));
+    }
+
+    /** Guards against a process that avoids an endpoint which has just responded to it. */
+    @Test
+    void responseEndsSuspicionAndEvidence() {
+        mEngine.lost();
+        mEngine.responded();
+        assertThat(mEngine.isActive(), is(false));
+        assertThat(mEngine.hasEvidence(), is(false));
+    }
+
+    /**
+     * Guards against a response before a loss that keeps the process from hearing that others have
+     * lost requests, too.
+     */
+    @Test
+    void ownLossOutweighsAnEarlierResponse() {
+        mEngine.responded();
+        mEngine.lost();
+        pass(200);
+        mEngine.updatePeers(2, PROCESSES);
+        pass(900);
+        assertThat(mEngine.isActive(), is(true));
+    }
+
+    /** Guards against a fleet of two in which no process can hear of the losses of the other. */
+    @Test
+    void oneOtherProcessIsEnoughInFleetOfTwo() {
+        mEngine.updatePeers(1, PROCESSES);
+        assertThat(mEngine.isActive(), is(false));
+        mEngine.updatePeers(1, 2);
+        assertThat(mEngine.isActive(), is(true));
+    }
+
+    /** Guards against a long prompt that makes a sound engine suspected. */
+    @Test
+    void silenceIsThreeTimesTheExpectedTime() {
+        mEngine.awaits(10 * EXPECTED_NANOS);
+        pass(2_999);
+        assertThat(mEngine.isActive(), is(false));
+        pass(502);
+        assertThat(mEngine.isActive(), is(true));
+    }
+
+    /** Guards against a silent engine that gets the next prompt as soon as a caller has left. */
+    @Test
+    void silenceIsSuspectedAfterItsCallerHasLeft() {
+        mEngine.awaits(EXPECTED_NANOS);
+        pass(900);
+        mEngine.awaitsNoLonger();
+        assertThat(mEngine.isActive(), is(true));
+        assertThat(mEngine.hasEvidence(), is(true));
+        pass(1_001);
+        assertThat(mEngine.isActive(), is(false));
+        assertThat(mEngine.hasEvidence(), is(false));
+    }
 }
