Tests of zones that fail without the rule they name

Strengthened, with the mutation under which each fails now:

* startsAnewAfterGap passed without the rule for gaps, since the share returns within 3 s by itself when the queue is gone.
The queue stays now (no rule for gaps).
* keepsAllWhileWaitsAreEqual and keepsAllWhileAllQueuesGrow passed with a share of 0.15 and 0.43, as no neighbor was open.
They ask for the share, too (kept load of 0.85 also where the others have more).

--- a/routing/src/test/java/org/sesamedeck/routing/locality/OutflowPlannerTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/locality/OutflowPlannerTest.java
@@ -62,7 +62,9 @@
     @Test
     void keepsAllWhileWaitsAreEqual() {
         mHomeMillis = 30;
-        assertThat(grow(20, 0, 30, 30).permits(0), equalTo(false));
+        DomainOutflow outflow = grow(20, 0, 30, 30);
+        assertThat(outflow.share(), equalTo(0.0));
+        assertThat(outflow.permits(0), equalTo(false));
     }
 
     /** Guards against a share that is too small or too late for a domain with a growing queue. */
@@ -106,6 +108,7 @@
                                             pressure(FAR, millis)))
                             .get();
         }
+        assertThat(outflow.share(), equalTo(0.0));
         assertThat(outflow.permits(0), equalTo(false));
     }
 
@@ -188,12 +191,19 @@
         }
     }
 
-    /** Guards against a share from loads before a long gap. */
+    /** Guards against a share from loads before a long gap, although the queue is still there. */
     @Test
     void startsAnewAfterGap() {
-        grow(10, 200, 0, 0);
+        assertThat(grow(10, 200, 0, 0).share(), greaterThan(0.5));
         mClock.advance(Duration.ofSeconds(3));
-        mHomeMillis = 0;
         assertThat(grow(1, 0, 0, 0).share(), equalTo(0.0));
+        assertThat(grow(5, 0, 0, 0).share(), greaterThan(0.0));
+    }
+
+    /** Guards against a burst that moves to the neighbors before their queues are seen. */
+    @Test
+    void shareRisesByNoMoreThanOneInThreeTenthsOfASecond() {
+        grow(1, 0, 0, 0);
+        assertThat(grow(1, 5_000, 0, 0).share(), closeTo(2.0 / 3, 0.01));
     }
 }
