Large bodies leave an eighth of the body memory to small requests

Cause: not the processor. In stacks, 14 to 16 chat requests hold a part of the body memory and wait for the rest (blocks, copy, or four times the size for parsing) until they are refused after 2 s; memory is within 10 KB of its limit, the process uses 0.04 to 0.1 s of processor time in up to 2 s, and ordinary requests wait for the same memory.

Change: CallerLedger counts what large requests hold. They leave an eighth to requests that take up to a 64th, also by their announced length. A large request that is the only one may still take all, so that with the defaults (64 MiB, bodies of 8 MiB, 40 MiB for parsing) no caller meets the limit.

Evidence: CallerLedgerTest.smallRequestDoesNotWaitBehindLargeOnes fails with a share of nothing, as before (64,000 instead of 56,000 bytes taken). All 16 tests of CallerCrowdTest pass. CallerLedgerTest's ledger has a share of 0, so that the figures of its other tests stay as they were.

--- a/daemon/src/main/java/org/sesamedeck/daemon/DaemonConfiguration.java
+++ b/daemon/src/main/java/org/sesamedeck/daemon/DaemonConfiguration.java
@@ -91,7 +91,7 @@
             Settings settings, Optional<HostAddress> listen, long callerMemory) {
         int maxThreads = Math.toIntExact(settings.get(DaemonSettings.THREADS));
         CallerLimits limits =
-                new CallerLimits(maxConnections(settings), maxThreads / 2, callerMemory);
+                CallerLimits.of(maxConnections(settings), maxThreads / 2, callerMemory);
         DaemonConfiguration configuration = new DaemonConfiguration(ledger(limits));
         BoundedServerFactory server = new BoundedServerFactory();
         server.setApplicationConnectors(
@@ -101,7 +101,7 @@
                                 listen.orElse(HostAddress.of("127.0.0.1", 0)),
                                 configuration.mCallers)));
         CallerLimits adminLimits =
-                new CallerLimits(ADMIN_CONNECTIONS, ADMIN_TRANSFERS, Long.MAX_VALUE);
+                CallerLimits.of(ADMIN_CONNECTIONS, ADMIN_TRANSFERS, Long.MAX_VALUE);
         server.setAdminConnectors(
                 List.of(
                         connector(
--- a/daemon/src/main/java/org/sesamedeck/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/sesamedeck/daemon/caller/CallerConnection.java
@@ -20,6 +20,7 @@
     private long mStalledNanos;
     private long mReceivedBytes;
     private long mHeldBytes;
+    private boolean mIsLarge;
 
     CallerConnection(CallerLedger ledger, Runnable close, long nowNanos) {
         mLedger = ledger;
@@ -27,6 +28,14 @@
         mStateNanos = nowNanos;
     }
 
+    /**
+     * Announces how much memory a request will reserve, before it reserves any; small requests need
+     * not wait for memory behind large ones.
+     */
+    public void expect(long bytes) {
+        mLedger.expect(this, bytes);
+    }
+
     /**
      * Reserves memory for the request in progress, if necessary by ending other callers that make
      * no progress, or by waiting a short time for others to release theirs.
@@ -88,6 +97,14 @@
         mHeldBytes += bytes;
     }
 
+    boolean isLarge() {
+        return mIsLarge;
+    }
+
+    void setLarge(boolean isLarge) {
+        mIsLarge = isLarge;
+    }
+
     /** Returns the product of memory and time without progress, with which a body weighs. */
     double weight(long nowNanos) {
         boolean isReceiving = mState == CallerState.RECEIVING;
--- a/daemon/src/main/java/org/sesamedeck/daemon/caller/CallerLedger.java
+++ b/daemon/src/main/java/org/sesamedeck/daemon/caller/CallerLedger.java
@@ -26,6 +26,10 @@
  *       held back, and is refused then.
  * </ul>
  *
+ * <p>Large requests that hold part of their memory and wait for the rest can keep each other
+ * waiting until they are refused. They leave part of the memory to small ones, which are served
+ * meanwhile.
+ *
  * <p>Only a transfer that has stalled for {@link #MIN_STALL} is ended, so that a burst of ordinary
  * callers passes. A request whose body is complete is never ended for memory, because it may have
  * been sent to an endpoint, and a request that waits for an endpoint is never ended at all.
@@ -44,6 +48,9 @@
     private int mWaitingForMemory;
     private long mUsedBytes;
 
+    /** Part of the memory that large requests hold. */
+    private long mLargeBytes;
+
     /** Memory of ended connections that the threads of their requests still have to release. */
     private long mEndedBytes;
 
@@ -140,6 +147,12 @@
         ended.forEach(CallerConnection::close);
     }
 
+    synchronized void expect(CallerConnection connection, long bytes) {
+        if (connection.heldBytes() == 0) {
+            connection.setLarge(bytes > mLimits.maxSmallBytes());
+        }
+    }
+
     boolean reserve(CallerConnection connection, long bytes) {
         long endNanos = mClock.nanoTime() + MAX_MEMORY_WAIT.toNanos();
         while (!tryReserve(connection, bytes)) {
@@ -156,23 +169,44 @@
         boolean isReserved;
         synchronized (this) {
             long now = mClock.nanoTime();
+            if (connection.heldBytes() + bytes > mLimits.maxSmallBytes()) {
+                becomeLarge(connection);
+            }
             while (!hasRoom(connection, bytes - mEndedBytes) && endOne(heaviest(now), ended)) {
                 continue;
             }
             isReserved = connection.state() != CallerState.ENDED && hasRoom(connection, bytes);
             if (isReserved) {
-                mUsedBytes += bytes;
-                connection.addHeldBytes(bytes);
+                addBytes(connection, bytes);
             }
         }
         ended.forEach(CallerConnection::close);
         return isReserved;
     }
 
-    /** One request may take all the memory and more, if no other holds any. */
+    private void becomeLarge(CallerConnection connection) {
+        mLargeBytes += connection.isLarge() ? 0 : connection.heldBytes();
+        connection.setLarge(true);
+    }
+
+    private void addBytes(CallerConnection connection, long bytes) {
+        connection.addHeldBytes(bytes);
+        mLargeBytes += connection.isLarge() ? bytes : 0;
+        mUsedBytes += bytes;
+    }
+
+    /**
+     * One request may take all the memory and more, if no other holds any, and also the part for
+     * small requests, if no other large one holds any.
+     */
     private boolean hasRoom(CallerConnection connection, long bytes) {
         boolean isAlone = mUsedBytes == connection.heldBytes();
-        return isAlone || mUsedBytes + bytes <= mLimits.memoryBytes();
+        boolean isOnlyLarge = mLargeBytes == connection.heldBytes();
+        boolean leavesSmallMemory =
+                !connection.isLarge()
+                        || isOnlyLarge
+                        || mLargeBytes + bytes <= mLimits.largeMemoryBytes();
+        return isAlone || leavesSmallMemory && mUsedBytes + bytes <= mLimits.memoryBytes();
     }
 
     private synchronized boolean awaitMemory() {
@@ -192,9 +226,8 @@
     }
 
     synchronized void release(CallerConnection connection, long bytes) {
-        connection.addHeldBytes(-bytes);
+        addBytes(connection, -bytes);
         mEndedBytes -= connection.state() == CallerState.ENDED ? bytes : 0;
-        mUsedBytes -= bytes;
         notifyAll();
     }
 
--- a/daemon/src/test/java/org/sesamedeck/daemon/caller/CallerLedgerTest.java
+++ b/daemon/src/test/java/org/sesamedeck/daemon/caller/CallerLedgerTest.java
@@ -13,7 +13,7 @@
 
 class CallerLedgerTest {
     private final ManualClock mClock = ManualClock.create();
-    private final CallerLedger mLedger = CallerLedger.of(mClock, new CallerLimits(3, 1, 1_000));
+    private final CallerLedger mLedger = CallerLedger.of(mClock, new CallerLimits(3, 1, 1_000, 0));
     private final List<String> mClosed = new ArrayList<>();
 
     private CallerConnection open(String name) {
@@ -165,4 +165,46 @@
         assertThat(mLedger.transfers(), is(0));
         assertThat(mLedger.tryReserve(receiving("other"), 1_000), is(true));
     }
+
+    /**
+     * Guards against ordinary requests that wait behind large bodies, each of which holds a part of
+     * the memory and waits for the rest.
+     */
+    @Test
+    void smallRequestDoesNotWaitBehindLargeOnes() {
+        CallerLedger ledger = CallerLedger.of(mClock, CallerLimits.of(10, 5, 64_000));
+        List<CallerConnection> large = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            CallerConnection connection = ledger.open(() -> {});
+            connection.expect(40_000);
+            large.add(connection);
+        }
+        boolean isAnyReserved = true;
+        while (isAnyReserved) {
+            isAnyReserved = false;
+            for (CallerConnection connection : large) {
+                isAnyReserved |= ledger.tryReserve(connection, 500);
+            }
+        }
+        assertThat("large ones take their part", ledger.usedBytes(), is(56_000L));
+        CallerConnection small = ledger.open(() -> {});
+        small.expect(500);
+        assertThat(ledger.tryReserve(small, 500), is(true));
+        assertThat(ledger.tryReserve(small, 500), is(true));
+        assertThat("it has become large", ledger.tryReserve(small, 500), is(false));
+        small.release(1_000);
+        large.forEach(connection -> connection.release(14_000));
+        assertThat(ledger.usedBytes(), is(0L));
+        assertThat(ledger.tryReserve(large.get(0), 56_000), is(true));
+    }
+
+    /** Guards against a large body that does not fit beside small ones and is never served. */
+    @Test
+    void onlyLargeRequestMayTakeTheMemoryForSmallOnes() {
+        CallerLedger ledger = CallerLedger.of(mClock, CallerLimits.of(10, 5, 64_000));
+        assertThat(ledger.tryReserve(ledger.open(() -> {}), 500), is(true));
+        CallerConnection large = ledger.open(() -> {});
+        assertThat(ledger.tryReserve(large, 60_000), is(true));
+        assertThat(ledger.tryReserve(ledger.open(() -> {}), 10_000), is(false));
+    }
 }
--- a/entry/src/main/java/org/sesamedeck/caller/BodyReader.java
+++ b/entry/src/main/java/org/sesamedeck/caller/BodyReader.java
@@ -43,6 +43,8 @@
         if (announcedBytes > mMaxBytes) {
             throw tooLargeException();
         }
+        // The body and its copy, as far as their size is known.
+        memory.expect(2 * Math.max(0, announcedBytes));
         List<byte[]> blocks = new ArrayList<>();
         int size;
         try {
--- a/entry/src/main/java/org/sesamedeck/caller/RequestMemory.java
+++ b/entry/src/main/java/org/sesamedeck/caller/RequestMemory.java
@@ -25,6 +25,11 @@
         return memory;
     }
 
+    /** Announces how many bytes the request will reserve at least. */
+    void expect(long bytes) {
+        mConnection.expect(bytes);
+    }
+
     /**
      * Reserves bytes.
      *
--- a/entry/src/main/java/org/sesamedeck/entry/EntrySettings.java
+++ b/entry/src/main/java/org/sesamedeck/entry/EntrySettings.java
@@ -76,7 +76,8 @@
                     String.valueOf(64 * MEBIBYTE),
                     "Memory limit for the bodies of all open requests together, in bytes. When it is"
                             + " short, bodies that have stalled are closed; then requests wait for up"
-                            + " to 2s and are refused.");
+                            + " to 2s and are refused. An eighth is only for requests that take up to"
+                            + " a 64th of it, unless there is one larger request alone.");
 
     /** Maximum number of output tokens that a caller may request. */
     public static final Setting<Long> MAX_OUTPUT_TOKENS =
--- a/entry/src/test/java/org/sesamedeck/entry/CallerCrowdTest.java
+++ b/entry/src/test/java/org/sesamedeck/entry/CallerCrowdTest.java
@@ -16,7 +16,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -59,9 +58,11 @@
         assertServesOthersBeside(kind);
     }
 
-    /** Guards against the same under bodies whose parsing takes most of the processor. */
+    /**
+     * Guards against ordinary requests that wait behind large bodies, whose parsing takes several
+     * times their size.
+     */
     @Test
-    @Tag("known-red")
     void processServesOthersBesideManyJsonFields() throws Exception {
         assertServesOthersBeside(Kind.MANY_JSON_FIELDS);
     }
