Outflow planner: usual names for balanced waits and kept requests

StayingPart becomes RetainedFraction, evacuate withoutHome, levelNanos waitAndCostNanos. Names only: no expression changed.

--- a/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
@@ -26,9 +26,9 @@
  * <ul>
  *   <li>The share therefore follows the load that the domain's requests bring, which does not
  *       depend on the share: the domain keeps most of what its endpoints can do, or more if the
- *       others have more, too. The wait at home that moving work can even out (see {@link
- *       WaterLevel}) is sent away in addition, over a time that is several times as long as the age
- *       of the loads.
+ *       others have more, too. The wait at home that moving work can balance (see {@link
+ *       BalancedWait}) is sent away in addition, over a time that is several times as long as the
+ *       age of the loads.
  *   <li>A neighbor takes requests once its wait plus the way there is shorter than the wait at
  *       home, and no more when its wait alone is not shorter. Between two domains requests can thus
  *       move only to the one with the shorter wait, and the cost of the way is the hysteresis.
@@ -40,7 +40,7 @@
  */
 final class OutflowPlanner {
     /** Several times the age of the loads, so that moved work is seen before it is moved again. */
-    private static final double EVENING_NANOS = Duration.ofMillis(1_500).toNanos();
+    private static final double BALANCING_NANOS = Duration.ofMillis(1_500).toNanos();
 
     /**
      * Load of the endpoints, as a multiple of what they can do, beyond which requests leave if
@@ -66,7 +66,7 @@
     private final LocalitySettings mSettings;
     private final Map<Set<String>, DomainTrend> mTrends = new HashMap<>();
     private final Set<Set<String>> mOpen = new HashSet<>();
-    private StayingPart mStaying = new StayingPart();
+    private RetainedFraction mRetained = new RetainedFraction();
     private boolean mHasPlan;
     private long mPlannedAtNanos;
     private double mShare;
@@ -78,12 +78,12 @@
 
     /** A neighbor with the cost of the way there. */
     private record Neighbor(DomainGroup group, DomainTrend trend, double costNanos) {
-        double levelNanos() {
+        double waitAndCostNanos() {
             return trend.waitNanos() + costNanos;
         }
 
-        WaterLevel.Basin basin() {
-            return new WaterLevel.Basin(trend.endpoints(), levelNanos());
+        BalancedWait.DomainWait domainWait() {
+            return new BalancedWait.DomainWait(trend.endpoints(), waitAndCostNanos());
         }
     }
 
@@ -100,14 +100,14 @@
         mPlannedAtNanos = now;
         List<DomainGroup> groups = DomainGroup.of(pressures);
         observe(groups, elapsed);
-        mStaying.record(now, mOpen.isEmpty() ? 0 : mShare, elapsed);
+        mRetained.record(now, mOpen.isEmpty() ? 0 : mShare, elapsed);
         List<Neighbor> neighbors = neighbors(groups);
         Optional<DomainGroup> home =
                 groups.stream()
                         .filter(group -> distance(group) == DomainDistance.SAME_DOMAIN)
                         .findFirst();
         if (home.isEmpty()) {
-            return Optional.of(evacuate(neighbors));
+            return Optional.of(withoutHome(neighbors));
         }
         return home.filter(group -> group.endpoints() >= DomainGroup.MIN_ENDPOINTS)
                 .map(group -> share(group, neighbors, elapsed));
@@ -129,7 +129,7 @@
     private void forget() {
         mTrends.clear();
         mOpen.clear();
-        mStaying = new StayingPart();
+        mRetained = new RetainedFraction();
         mShare = 0;
     }
 
@@ -141,7 +141,7 @@
         mTrends.keySet().retainAll(groups.stream().map(DomainGroup::domains).toList());
     }
 
-    /** Returns the neighbors by rising level. */
+    /** Returns the neighbors by rising wait and cost. */
     private List<Neighbor> neighbors(List<DomainGroup> groups) {
         List<Neighbor> neighbors = new ArrayList<>();
         for (DomainGroup group : groups) {
@@ -154,8 +154,8 @@
                                 mSettings.cost(distance).delayNanos()));
             }
         }
-        // Stable: groups of the same level keep the order of their regions and domains.
-        neighbors.sort(Comparator.comparingDouble(Neighbor::levelNanos));
+        // Stable: groups of the same cost keep the order of their regions and domains.
+        neighbors.sort(Comparator.comparingDouble(Neighbor::waitAndCostNanos));
         return neighbors;
     }
 
@@ -163,15 +163,15 @@
         DomainTrend home = mTrends.get(group.domains());
         List<Neighbor> accepting =
                 neighbors.stream().filter(neighbor -> !isFull(neighbor)).toList();
-        double level =
-                WaterLevel.of(
-                        new WaterLevel.Basin(home.endpoints(), home.waitNanos()),
-                        accepting.stream().map(Neighbor::basin).toList());
-        double evened = (home.waitNanos() - level) / EVENING_NANOS;
-        double kept = sustainable(home, accepting) - evened;
-        double offered = Math.max(MIN_OFFERED, home.inflow() / mStaying.part());
+        double balancedWait =
+                BalancedWait.of(
+                        new BalancedWait.DomainWait(home.endpoints(), home.waitNanos()),
+                        accepting.stream().map(Neighbor::domainWait).toList());
+        double excess = (home.waitNanos() - balancedWait) / BALANCING_NANOS;
+        double kept = sustainable(home, accepting) - excess;
+        double offered = Math.max(MIN_OFFERED, home.inflow() / mRetained.fraction());
         moveShare(accepting.isEmpty() ? 0 : 1 - kept / offered, elapsed);
-        openAndClose(accepting, home.waitNanos(), level);
+        openAndClose(accepting, home.waitNanos(), balancedWait);
         List<Neighbor> open =
                 accepting.stream()
                         .filter(neighbor -> mOpen.contains(neighbor.group().domains()))
@@ -204,10 +204,10 @@
         mShare = Math.max(0, Math.min(1, share));
     }
 
-    private void openAndClose(List<Neighbor> accepting, double homeWait, double level) {
+    private void openAndClose(List<Neighbor> accepting, double homeWait, double balancedWait) {
         Set<Set<String>> lower = new HashSet<>();
         for (Neighbor neighbor : accepting) {
-            if (neighbor.levelNanos() < level) {
+            if (neighbor.waitAndCostNanos() < balancedWait) {
                 mOpen.add(neighbor.group().domains());
             }
             if (neighbor.trend().waitNanos() < homeWait) {
@@ -232,17 +232,17 @@
      * Returns the outflow of a domain without endpoints: everything goes to the nearest neighbors,
      * and to farther ones once their wait is shorter by more than the way.
      */
-    private DomainOutflow evacuate(List<Neighbor> neighbors) {
+    private DomainOutflow withoutHome(List<Neighbor> neighbors) {
         mShare = 1;
         mOpen.clear();
         List<Neighbor> accepting =
                 neighbors.stream().filter(neighbor -> !isFull(neighbor)).toList();
         List<Neighbor> candidates = accepting.isEmpty() ? neighbors : accepting;
         double nearestCost = candidates.stream().mapToDouble(Neighbor::costNanos).min().orElse(0);
-        double nearestLevel =
+        double nearestWait =
                 candidates.stream()
                         .filter(neighbor -> neighbor.costNanos() <= nearestCost)
-                        .mapToDouble(Neighbor::levelNanos)
+                        .mapToDouble(Neighbor::waitAndCostNanos)
                         .min()
                         .orElse(0);
         List<Neighbor> open =
@@ -250,7 +250,7 @@
                         .filter(
                                 neighbor ->
                                         neighbor.costNanos() <= nearestCost
-                                                || neighbor.levelNanos() < nearestLevel)
+                                                || neighbor.waitAndCostNanos() < nearestWait)
                         .toList();
         open.forEach(neighbor -> mOpen.add(neighbor.group().domains()));
         return outflow(Set.of(), open, Double.POSITIVE_INFINITY);
