Evidence and usage are reported, not told

"Told" as a noun and as the name of a constant said neither what is sent nor for how long: TOLD_NANOS becomes EVIDENCE_LIFETIME_NANOS, tellsSilence sharesSilence, mToldShares mReportedShares, toldBy reportedBy. Names and comments only.

--- a/routing/src/main/java/org/sesamedeck/routing/EndpointSuspicion.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointSuspicion.java
@@ -23,8 +23,8 @@
     private static final long INITIAL_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long MAX_NANOS = Duration.ofSeconds(4).toNanos();
 
-    /** Time for which the other processes are told of evidence, several rounds of the exchange. */
-    private static final long TOLD_NANOS = Duration.ofSeconds(1).toNanos();
+    /** Time for which evidence is sent to the other processes, several rounds of the exchange. */
+    private static final long EVIDENCE_LIFETIME_NANOS = Duration.ofSeconds(1).toNanos();
 
     /** Silence that is never suspicious, as responses of busy endpoints arrive in batches. */
     private static final long MIN_SILENCE_NANOS = Duration.ofMillis(500).toNanos();
@@ -32,7 +32,7 @@
     /** Multiple of the expected time to the first response that counts as silence. */
     private static final double SILENCE_FACTOR = 3;
 
-    /** A response of this age is taken to be newer than the evidence that others have told of. */
+    /** A response of this age is taken to be newer than the evidence of others. */
     private static final long FRESH_RESPONSE_NANOS = Duration.ofMillis(300).toNanos();
 
     /** A single process may be cut off itself, and would then suspect all endpoints. */
@@ -40,7 +40,7 @@
 
     private final Clock mClock;
     private final double mSpread;
-    private final boolean mTellsSilence;
+    private final boolean mSharesSilence;
     private long mIntervalNanos;
     private long mSinceNanos;
     private long mUntilNanos;
@@ -56,13 +56,13 @@
      * Creates a suspicion without evidence.
      *
      * @param spread random part of this process, as a multiple of each interval, 0 to 1
-     * @param tellsSilence whether silence is evidence for other processes too; at an endpoint that
+     * @param sharesSilence whether silence is evidence for other processes too; at an endpoint that
      *     responds only when a request is done, one long request of each is as silent
      */
-    EndpointSuspicion(Clock clock, double spread, boolean tellsSilence) {
+    EndpointSuspicion(Clock clock, double spread, boolean sharesSilence) {
         mClock = clock;
         mSpread = spread;
-        mTellsSilence = tellsSilence;
+        mSharesSilence = sharesSilence;
         mRespondedAtNanos = clock.nanoTime() - FRESH_RESPONSE_NANOS;
         mUntilNanos = clock.nanoTime();
     }
@@ -88,7 +88,7 @@
     synchronized void awaitsNoLonger() {
         if (isSilent()) {
             suspect();
-            mHasEvidence |= mTellsSilence;
+            mHasEvidence |= mSharesSilence;
             mEvidenceAtNanos = mClock.nanoTime();
         }
         mAwaited--;
@@ -140,10 +140,10 @@
         mUntilNanos = now + (long) (mIntervalNanos * (1 + mSpread));
     }
 
-    /** Returns whether this process has evidence of its own that the others are told of. */
+    /** Returns whether this process has evidence of its own to send to the others. */
     synchronized boolean hasEvidence() {
-        boolean isRecent = mClock.nanoTime() - mEvidenceAtNanos < TOLD_NANOS;
-        return mHasEvidence && isRecent || mTellsSilence && isSilent();
+        boolean isRecent = mClock.nanoTime() - mEvidenceAtNanos < EVIDENCE_LIFETIME_NANOS;
+        return mHasEvidence && isRecent || mSharesSilence && isSilent();
     }
 
     /** Returns whether the endpoint is suspected. */
--- a/routing/src/main/java/org/sesamedeck/routing/FleetProgress.java
+++ b/routing/src/main/java/org/sesamedeck/routing/FleetProgress.java
@@ -93,7 +93,7 @@
         updateBehind(progress);
     }
 
-    /** Records what another process has told. */
+    /** Records what another process has reported. */
     public void receive(LoadMessage message) {
         long delay = mTransitDelays.excessNanos(message) + HOP_AGE.toNanos();
         for (StoreProgress peer : message.storeProgress()) {
@@ -108,20 +108,20 @@
         }
     }
 
-    /** Returns what to tell the other processes. */
+    /** Returns what to report to the other processes. */
     public List<StoreProgress> toTell() {
         long now = mClock.nanoTime();
-        List<StoreProgress> told = new ArrayList<>();
+        List<StoreProgress> reported = new ArrayList<>();
         mByKind.forEach(
                 (kind, progress) ->
                         progress.mConfirmedNanos.ifPresent(
                                 confirmed ->
-                                        told.add(
+                                        reported.add(
                                                 new StoreProgress(
                                                         kind,
                                                         progress.mChangedRevision,
                                                         now - confirmed))));
-        return told;
+        return reported;
     }
 
     /** Returns whether other processes have known a change for some time that this one lacks. */
--- a/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LoadExchange.java
@@ -372,7 +372,7 @@
         }
         List<String> members = members();
         return members.isEmpty()
-                ? mUsage.toldBy(mTopology.ownGroup())
+                ? mUsage.reportedBy(mTopology.ownGroup())
                 : mUsage.ofMembersAndGroups(members, mTopology.otherGroups(), mGroups::isFresh);
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/UsageExchange.java
+++ b/routing/src/main/java/org/sesamedeck/routing/UsageExchange.java
@@ -109,7 +109,7 @@
         return sum.isEmpty() ? Optional.empty() : Optional.of(sum.within(MAX_BYTES));
     }
 
-    /** Returns the usage that each of these groups has told, by the best ranked relay. */
+    /** Returns the usage of each of these groups as its best ranked relay reported it. */
     private List<UsageSummary> ofGroups(
             Collection<List<String>> groups, Predicate<String> isRelaying) {
         List<UsageSummary> usages = new ArrayList<>();
@@ -120,7 +120,7 @@
         return usages;
     }
 
-    /** Returns the usage of the given processes, as they told it themselves. */
+    /** Returns the usage of the given processes, as they reported it themselves. */
     UsageSummary ofProcesses(Collection<String> processes) {
         return UsageSummary.sum(mProcesses.of(processes));
     }
@@ -135,8 +135,8 @@
         return UsageSummary.sum(usages);
     }
 
-    /** Returns the usage of all other processes as a relay of this process's group told it. */
-    UsageSummary toldBy(Collection<String> relays) {
+    /** Returns the usage of all other processes as a relay of this process's group reported it. */
+    UsageSummary reportedBy(Collection<String> relays) {
         return mFleet.latest(relays).orElse(UsageSummary.empty());
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflows.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflows.java
@@ -14,13 +14,13 @@
     /** Loads are exchanged several times a second; an outflow from older ones is not used. */
     private static final long MAX_AGE_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** Change of the share that the listener is told. */
+    /** Least change of the share that is reported to the listener. */
     private static final double NOTABLE_CHANGE = 0.25;
 
     private final Clock mClock;
     private final LocalitySettings mSettings;
     private final Map<ServiceRole, OutflowPlanner> mPlanners = new HashMap<>();
-    private final Map<ServiceRole, Double> mToldShares = new HashMap<>();
+    private final Map<ServiceRole, Double> mReportedShares = new HashMap<>();
     private volatile OutflowListener mListener = OutflowListener.NONE;
     private volatile Plan mPlan = new Plan(Map.of(), 0);
 
@@ -50,27 +50,27 @@
                 (key, domains) ->
                         planner(key).plan(domains).ifPresent(plan -> outflows.put(key, plan)));
         mPlan = new Plan(Map.copyOf(outflows), mClock.nanoTime());
-        mToldShares.keySet().retainAll(outflows.keySet());
-        outflows.forEach(this::tell);
+        mReportedShares.keySet().retainAll(outflows.keySet());
+        outflows.forEach(this::report);
     }
 
     private OutflowPlanner planner(ServiceRole key) {
         return mPlanners.computeIfAbsent(key, any -> new OutflowPlanner(mClock, mSettings));
     }
 
-    private void tell(ServiceRole key, DomainOutflow outflow) {
-        double told = mToldShares.getOrDefault(key, 0.0);
+    private void report(ServiceRole key, DomainOutflow outflow) {
+        double reported = mReportedShares.getOrDefault(key, 0.0);
         double share = outflow.share();
-        if (told == 0 && share > 0) {
+        if (reported == 0 && share > 0) {
             mListener.began(key, outflow);
-        } else if (told > 0 && share == 0) {
+        } else if (reported > 0 && share == 0) {
             mListener.ended(key, outflow);
-        } else if (Math.abs(share - told) >= NOTABLE_CHANGE) {
+        } else if (Math.abs(share - reported) >= NOTABLE_CHANGE) {
             mListener.changed(key, outflow);
         } else {
             return;
         }
-        mToldShares.put(key, share);
+        mReportedShares.put(key, share);
     }
 
     /**
