Scaling: names that say what is known instead of settled

"Settled" stood for three things: load measured for the whole hold time (hasFullHistory), a need that is derived from it (isLoadKnown, as the log field is called), and orders whose effect shows in the endpoint table (pending, visibleAtNanos). removeDearest becomes removeMostExpensive, isCarried isEnough, isWhole isComplete. Names only; one call in gateway follows the record.

--- a/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
+++ b/gateway/src/main/java/org/sesamedeck/gateway/scaling/ServerScaler.java
@@ -353,7 +353,7 @@
                         .with("service", service.name())
                         .with("neededForPrompts", plan.need().prefill())
                         .with("neededForResponses", plan.need().decode())
-                        .with("isLoadKnown", plan.need().isSettled())
+                        .with("isLoadKnown", plan.need().isLoadKnown())
                         .with("serving", plan.serving())
                         .with("expected", plan.expected())
                         .with("reclaimable", service.counts().reclaimable())
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/LoadCoverage.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/LoadCoverage.java
@@ -24,10 +24,10 @@
     private final Clock mClock;
     private final ArrayDeque<Bucket> mBuckets = new ArrayDeque<>();
 
-    /** Most processes that were heard in a few seconds. */
+    /** Highest number of processes whose load was known within a few seconds. */
     private static final class Bucket {
         private final long mStartNanos;
-        private int mMost;
+        private int mHighest;
 
         Bucket(long startNanos) {
             mStartNanos = startNanos;
@@ -46,15 +46,15 @@
             last = new Bucket(now);
             mBuckets.addLast(last);
         }
-        last.mMost = Math.max(last.mMost, processes);
+        last.mHighest = Math.max(last.mHighest, processes);
         while (now - mBuckets.getFirst().mStartNanos > MEMORY.toNanos()) {
             mBuckets.removeFirst();
         }
     }
 
     /** Returns whether the load of so many processes is nearly that of all. */
-    boolean isWhole(int processes) {
-        int most = mBuckets.stream().mapToInt(bucket -> bucket.mMost).max().orElse(0);
-        return processes >= most - Math.max(1, (int) (most * MAX_MISSING));
+    boolean isComplete(int processes) {
+        int highest = mBuckets.stream().mapToInt(bucket -> bucket.mHighest).max().orElse(0);
+        return processes >= highest - Math.max(1, (int) (highest * MAX_MISSING));
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/LoadForecast.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/LoadForecast.java
@@ -88,7 +88,7 @@
     }
 
     /** Returns whether load has been measured for the whole hold time and until now. */
-    boolean isSettled() {
+    boolean hasFullHistory() {
         long now = mClock.nanoTime();
         return mHasLoad
                 && now - mFirstLoadNanos >= HOLD_TIME.toNanos()
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/OrderLedger.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/OrderLedger.java
@@ -38,9 +38,9 @@
      * @param previous the order before, which stands if this one is refused
      */
     private record Order(
-            int count, boolean isGrowth, long settledAtNanos, Optional<Order> previous) {
+            int count, boolean isGrowth, long visibleAtNanos, Optional<Order> previous) {
         Order withoutPrevious() {
-            return new Order(count, isGrowth, settledAtNanos, Optional.empty());
+            return new Order(count, isGrowth, visibleAtNanos, Optional.empty());
         }
     }
 
@@ -63,11 +63,10 @@
      */
     public void ordered(ServerPool pool, int count, int present, Duration startTime) {
         boolean isGrowth = count > present;
-        Duration settlingTime = isGrowth ? startTime.plus(TABLE_LAG) : TABLE_LAG;
+        Duration delay = isGrowth ? startTime.plus(TABLE_LAG) : TABLE_LAG;
         Optional<Order> previous = order(pool).map(Order::withoutPrevious);
         mOrders.put(
-                pool,
-                new Order(count, isGrowth, mClock.nanoTime() + settlingTime.toNanos(), previous));
+                pool, new Order(count, isGrowth, mClock.nanoTime() + delay.toNanos(), previous));
     }
 
     /**
@@ -142,7 +141,7 @@
     }
 
     /** Returns the pools with an order whose effect may not show yet. */
-    public Set<ServerPool> unsettled() {
+    public Set<ServerPool> pending() {
         Set<ServerPool> pools = new HashSet<>(mOrders.keySet());
         pools.removeIf(pool -> order(pool).isEmpty());
         return pools;
@@ -166,6 +165,6 @@
 
     private Optional<Order> order(ServerPool pool) {
         return Optional.ofNullable(mOrders.get(pool))
-                .filter(order -> order.settledAtNanos() - mClock.nanoTime() > 0);
+                .filter(order -> order.visibleAtNanos() - mClock.nanoTime() > 0);
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/PoolDraft.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/PoolDraft.java
@@ -90,8 +90,9 @@
     }
 
     /** Removes a server of a kind where it costs most; returns its pool. */
-    Optional<ServerPool> removeDearest(boolean isReclaimable, Predicate<ServerPool> isAllowed) {
-        Optional<ServerPool> dearest =
+    Optional<ServerPool> removeMostExpensive(
+            boolean isReclaimable, Predicate<ServerPool> isAllowed) {
+        Optional<ServerPool> mostExpensive =
                 mDomains.stream()
                         .filter(domain -> inDomain(domain) > mTerms.minimum())
                         .map(domain -> new ServerPool(domain, isReclaimable))
@@ -100,7 +101,7 @@
                         .max(
                                 Comparator.comparingDouble(this::marginalPrice)
                                         .thenComparing(BY_NAME));
-        dearest.ifPresent(pool -> mCounts.merge(pool, -1, Integer::sum));
-        return dearest;
+        mostExpensive.ifPresent(pool -> mCounts.merge(pool, -1, Integer::sum));
+        return mostExpensive;
     }
 }
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerNeedEstimator.java
@@ -45,7 +45,7 @@
     private final LoadForecast mDecode;
     private ServerCounts mFirstCounts = ServerCounts.of(List.of(), "");
     private OptionalLong mFirstSeenNanos = OptionalLong.empty();
-    private Optional<ServerNeed> mLastSettled = Optional.empty();
+    private Optional<ServerNeed> mLastKnown = Optional.empty();
     private OptionalLong mLastPartialNanos = OptionalLong.empty();
 
     private ServerNeedEstimator(Clock clock) {
@@ -97,7 +97,7 @@
      */
     public void observeProcesses(int processes) {
         mCoverage.observe(processes);
-        if (!mCoverage.isWhole(processes)) {
+        if (!mCoverage.isComplete(processes)) {
             mLastPartialNanos = OptionalLong.of(mClock.nanoTime());
         }
     }
@@ -138,23 +138,23 @@
         double busy = mPrefill.within(terms.startTime());
         int prefill = whole(busy / PREFILL_UTILIZATION);
         int decode = whole(mDecode.within(terms.startTime()) / DECODE_UTILIZATION);
-        return settled(Math.max(MIN_PER_PHASE, prefill), Math.max(MIN_PER_PHASE, decode));
+        return needOf(Math.max(MIN_PER_PHASE, prefill), Math.max(MIN_PER_PHASE, decode));
     }
 
     private static int whole(double servers) {
         return (int) Math.ceil(servers - ROUNDING);
     }
 
-    private ServerNeed settled(int prefill, int decode) {
-        if (mDecode.isSettled() && !wasPartial()) {
-            mLastSettled = Optional.of(new ServerNeed(prefill, decode, true, false));
-            return mLastSettled.get();
+    private ServerNeed needOf(int prefill, int decode) {
+        if (mDecode.hasFullHistory() && !wasPartial()) {
+            mLastKnown = Optional.of(new ServerNeed(prefill, decode, true, false));
+            return mLastKnown.get();
         }
-        if (mLastSettled.isPresent()) {
+        if (mLastKnown.isPresent()) {
             // Samples have been lost; what was needed before is needed until there are new ones.
             return new ServerNeed(
-                    Math.max(prefill, mLastSettled.get().prefill()),
-                    Math.max(decode, mLastSettled.get().decode()),
+                    Math.max(prefill, mLastKnown.get().prefill()),
+                    Math.max(decode, mLastKnown.get().decode()),
                     false,
                     false);
         }
--- a/routing/src/main/java/org/sesamedeck/routing/scaling/ServerPlanner.java
+++ b/routing/src/main/java/org/sesamedeck/routing/scaling/ServerPlanner.java
@@ -84,7 +84,7 @@
     private static Set<ServerPool> pools(
             ScalingTerms terms, OrderLedger ledger, ServerCounts counts) {
         Set<ServerPool> pools = new LinkedHashSet<>(counts.pools());
-        pools.addAll(ledger.unsettled());
+        pools.addAll(ledger.pending());
         for (String domain : terms.domainPrices().keySet()) {
             pools.add(new ServerPool(domain, false));
             pools.add(new ServerPool(domain, true));
@@ -190,7 +190,7 @@
         double fraction = mNeed.isIdle() ? 1 : GIVE_BACK_FRACTION;
         int budget = Math.max(1, (int) (mCounts.total() * fraction)) - leaving;
         int kept = keptSurplus();
-        boolean isLargeSurplus = mNeed.isSettled() && mStaying.total() > mNeeded + kept;
+        boolean isLargeSurplus = mNeed.isLoadKnown() && mStaying.total() > mNeeded + kept;
         // Half of the surplus stays, so that the next swing orders nothing.
         int goal = isLargeSurplus ? mNeeded + kept / 2 : mStaying.total();
         for (int removed = 0; removed < budget; removed++) {
@@ -207,9 +207,9 @@
                         && mStaying.of(false) > ordinaryGoal()
                         && total > mNeeded;
         if (isReplaced) {
-            return removeIfCarried(false, grown);
+            return removeIfEnoughRemain(false, grown);
         }
-        return total > goal && removeIfCarried(mTerms.offersReclaimable(), grown);
+        return total > goal && removeIfEnoughRemain(mTerms.offersReclaimable(), grown);
     }
 
     /**
@@ -217,17 +217,17 @@
      * reserve for that loss is all that stays beyond the need, and a swing of the need would order
      * again what is given back of it, so the tolerated surplus is kept there, too.
      */
-    private boolean removeIfCarried(boolean isReclaimable, Set<ServerPool> grown) {
+    private boolean removeIfEnoughRemain(boolean isReclaimable, Set<ServerPool> grown) {
         Optional<ServerPool> removed =
-                mStaying.removeDearest(isReclaimable, pool -> isRemovable(pool, grown));
+                mStaying.removeMostExpensive(isReclaimable, pool -> isRemovable(pool, grown));
         int largest = mStaying.largestReclaimable();
         boolean isReserve = isReclaimable && remainingNeed() + largest > mNeeded;
         int kept = isReserve ? keptSurplus() : 0;
-        boolean isCarried = mStaying.total() - largest >= remainingNeed() + kept;
-        if (!isCarried) {
+        boolean isEnough = mStaying.total() - largest >= remainingNeed() + kept;
+        if (!isEnough) {
             removed.ifPresent(pool -> mStaying.set(pool, mStaying.in(pool) + 1));
         }
-        return isCarried && removed.isPresent();
+        return isEnough && removed.isPresent();
     }
 
     /** An order for fewer servers would also cancel those of the pool that are starting. */
--- a/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/scaling/ServerNeedEstimatorTest.java
@@ -91,10 +91,10 @@
     void lostSamplesKeepTheNeed() {
         mEstimator.observeServers(servers(30, 0));
         load(20, new PhaseLoad(2, 0, 40, 32));
-        int settled = need().total();
+        int known = need().total();
         mClock.advance(Duration.ofSeconds(5));
-        assertThat(need().isSettled(), is(false));
-        assertThat(need().total(), is(settled));
+        assertThat(need().isLoadKnown(), is(false));
+        assertThat(need().total(), is(known));
     }
 
     /** Guards against long waits of prompts that go unseen while engines are half idle. */
@@ -103,7 +103,7 @@
         load(20, new PhaseLoad(2, 0, 40, 32));
         int withoutWait = need().prefill();
         load(5, new PhaseLoad(2, Duration.ofMillis(200).toNanos(), 40, 32));
-        assertThat(need().isSettled(), is(true));
+        assertThat(need().isLoadKnown(), is(true));
         assertThat(withoutWait, is(4));
         assertThat(need().prefill(), greaterThanOrEqualTo(8));
         assertThat(need().prefill(), lessThan(18));
@@ -123,20 +123,20 @@
     void loadOfAPartOfTheFleetLowersNothing() {
         mEstimator.observeServers(servers(60, 0));
         load(20, new PhaseLoad(12, 0, 300, 32), 83);
-        int settled = need().total();
+        int known = need().total();
         load(300, new PhaseLoad(4, 0, 100, 32), 28);
-        assertThat(need().isSettled(), is(false));
-        assertThat(need().total(), is(settled));
+        assertThat(need().isLoadKnown(), is(false));
+        assertThat(need().total(), is(known));
     }
 
     /** Guards against never giving back again once some processes have ended for good. */
     @Test
     void processesThatEndedForGoodAreForgotten() {
         load(20, new PhaseLoad(12, 0, 300, 32), 83);
-        int settled = need().total();
+        int known = need().total();
         load(660, new PhaseLoad(4, 0, 100, 32), 50);
-        assertThat(need().isSettled(), is(true));
-        assertThat(need().total(), lessThan(settled));
+        assertThat(need().isLoadKnown(), is(true));
+        assertThat(need().total(), lessThan(known));
     }
 
     /** Guards against a need that is held whenever a few processes restart. */
@@ -144,6 +144,6 @@
     void restartOfAFewProcessesIsNoPartialLoad() {
         load(20, new PhaseLoad(12, 0, 300, 32), 83);
         load(20, new PhaseLoad(4, 0, 100, 32), 78);
-        assertThat(need().isSettled(), is(true));
+        assertThat(need().isLoadKnown(), is(true));
     }
 }
