The learned speed of an engine is a class of its own

EngineSpeed takes the part that learns prefill and decode times; it is used under the lock of the state as before. The expressions are unchanged, in their order; two literals got names.

--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -9,8 +9,6 @@
  * then, its learned speed and its circuit breaker. Thread-safe.
  */
 final class EndpointState {
-    private static final double LEARNING_RATE = 0.1;
-
     /** The load of other processes is older than a report of this age. */
     private static final long FRESH_REPORT_NANOS = 100_000_000L;
 
@@ -29,16 +27,15 @@
     /** Peers publish their load several times a second; an older load is not used. */
     private static final long MAX_PEER_LOAD_AGE_NANOS = 800_000_000L;
 
-    /**
-     * Even a slow engine receives some responses, since only those show when it is faster again.
-     */
-    private static final double MIN_DECODE_CAPACITY = 2;
+    /** Shorter responses measure fixed costs. */
+    private static final long MIN_OUTPUT_TOKENS = 8;
 
     /** Decay time of this router's recent prompts; about the age of a delayed report. */
     private static final double RECENT_PROMPTS_DECAY_NANOS = 1e9;
 
     private final Clock mClock;
     private final EngineTraits mTraits;
+    private final EngineSpeed mEngineSpeed;
     private final CircuitBreaker mBreaker;
     private final EndpointHold mHold;
     private final EndpointSuspicion mSuspicion;
@@ -60,11 +57,6 @@
     private double mUnstartedSinceReportNanos;
     private double mAssignedSinceReportNanos;
     private int mRunningSinceReport;
-    private double mPrefillNanosPerToken;
-
-    /** Token interval of a response that runs alone. */
-    private double mIdleDecodeNanosPerToken;
-
     private int mSlots;
     private double mRecentPromptNanos;
     private long mRecentUpdatedAtNanos;
@@ -89,8 +81,7 @@
         mDescription = description;
         mSpeed = speed;
         mServiceTime = serviceTime;
-        mPrefillNanosPerToken = settings.prefillNanosPerToken();
-        mIdleDecodeNanosPerToken = settings.decodeNanosPerToken();
+        mEngineSpeed = new EngineSpeed(settings);
     }
 
     EndpointDescription description() {
@@ -169,7 +160,7 @@
         mReportedQueued = report.queuedRequests();
         mSlots = report.slots().orElse(0);
         report.pace().ifPresent(pace -> mSpeed.paceReported(pace, mReportedAtNanos));
-        mReportedPromptNanos = report.queuedPromptTokens() * mPrefillNanosPerToken;
+        mReportedPromptNanos = report.queuedPromptTokens() * mEngineSpeed.prefillNanosPerToken();
         while (!mAssignmentsSinceReport.isEmpty()
                 && mAssignmentsSinceReport.peekFirst().assignedAtNanos() - mReportedAtNanos <= 0) {
             RoutedAssignment included = mAssignmentsSinceReport.pollFirst();
@@ -269,22 +260,17 @@
             long prefillNanos,
             long decodeNanos,
             boolean startedAtOnce) {
-        if (startedAtOnce && uncachedTokens >= 64) {
-            double sample = prefillNanos / uncachedTokens;
-            // A measured time is never below the processing time, but often includes a wait for a
-            // batch: low samples have full weight, high ones a tenth.
-            double rate = sample < mPrefillNanosPerToken ? LEARNING_RATE : LEARNING_RATE / 10;
-            mPrefillNanosPerToken += rate * (sample - mPrefillNanosPerToken);
+        if (startedAtOnce) {
+            mEngineSpeed.learnPrompt(uncachedTokens, prefillNanos);
         }
-        if (outputTokens >= 8 && decodeNanos > 0) {
+        if (outputTokens >= MIN_OUTPUT_TOKENS && decodeNanos > 0) {
             learnTokenInterval(outputTokens - 1, decodeNanos);
         }
     }
 
     /** Learns from the token interval of a response that is still in progress. */
     synchronized void learnTokenInterval(long tokens, long nanos) {
-        double sample = (double) nanos / tokens / (1 + runningNow() / mTraits.batchScale());
-        mIdleDecodeNanosPerToken += LEARNING_RATE * (sample - mIdleDecodeNanosPerToken);
+        mEngineSpeed.learnTokenInterval(tokens, nanos, runningNow());
     }
 
     /**
@@ -310,10 +296,7 @@
 
     /** Returns how many responses the engine can generate within the token interval limit. */
     synchronized double decodeCapacity() {
-        double capacity =
-                (mTraits.tokenIntervalLimitNanos() / mIdleDecodeNanosPerToken - 1)
-                        * mTraits.batchScale();
-        return Math.max(MIN_DECODE_CAPACITY, capacity);
+        return mEngineSpeed.decodeCapacity();
     }
 
     /**
@@ -422,12 +405,12 @@
     }
 
     synchronized double prefillNanosPerToken() {
-        return mPrefillNanosPerToken;
+        return mEngineSpeed.prefillNanosPerToken();
     }
 
     /** Returns the expected time between tokens under the current batch, in nanoseconds. */
     synchronized double decodeNanosPerToken() {
-        return mIdleDecodeNanosPerToken * (1 + runningNow() / mTraits.batchScale());
+        return mEngineSpeed.decodeNanosPerToken(runningNow());
     }
 
     /**
@@ -435,7 +418,7 @@
      * report lengthen the token interval, in nanoseconds.
      */
     synchronized double peerDecodeNanosPerToken(int processes) {
-        return mIdleDecodeNanosPerToken
+        return mEngineSpeed.idleDecodeNanosPerToken()
                 * (processes - 1)
                 * mRunningSinceReport
                 / mTraits.batchScale();
