Creating the states of endpoints is a class of its own

EndpointStates takes the second part, with the random numbers of suspicions and the service times that only it uses; they are drawn and created in the same order. It is called under the lock of updateEndpoints, so its map need not be concurrent.

--- a/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
+++ b/routing/src/main/java/org/sesamedeck/routing/DefaultRouter.java
@@ -9,7 +9,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToIntFunction;
 import org.sesamedeck.core.Clock;
 import org.sesamedeck.routing.locality.DomainOutflows;
@@ -43,15 +42,13 @@
     private final RouterSettings mSettings;
     private final RendezvousSubset mSubset;
     private final SplittableRandom mRandom;
-    private final SplittableRandom mSpreads;
     private final PrefixIndex mPrefixes = PrefixIndex.create(PREFIX_CAPACITY);
     private final PrefixUpdateBuffer mPrefixUpdates = new PrefixUpdateBuffer();
     private final EndpointExclusions mExclusions;
     private final EngineMemory mMemory = new EngineMemory();
     private final LocalityRule mLocality;
     private final EndpointComparison mComparison;
-    private final Map<String, ServiceTimeModel> mServiceTimes = new ConcurrentHashMap<>();
-    private final SpeedEstimate.Factory mSpeeds;
+    private final EndpointStates mStates;
     private volatile int mProcesses = 1;
     private volatile EndpointTable mTable = EndpointTable.empty();
 
@@ -63,17 +60,16 @@
             String name,
             long seed) {
         mClock = clock;
-        mSpeeds = speeds;
         mEstimator = estimator;
         mSettings = settings;
         mSubset = RendezvousSubset.of(name, settings);
         mRandom = new SplittableRandom(seed);
-        mSpreads = new SplittableRandom(~seed);
         mLocality = LocalityRule.of(clock, settings, seed);
         mComparison = new EndpointComparison(settings, mPrefixes, mMemory, mLocality);
         mExclusions =
                 new EndpointExclusions(
                         clock, settings.traits().rolesAreStrict(), mRandom.nextLong());
+        mStates = new EndpointStates(clock, settings, speeds, mPrefixes, mExclusions, ~seed);
     }
 
     /**
@@ -237,40 +233,11 @@
     @Override
     public synchronized void updateEndpoints(List<EndpointDescription> endpoints) {
         Map<String, EndpointState> known = new HashMap<>(mTable.states());
-        EndpointTable table =
+        mTable =
                 EndpointTable.of(
                         endpoints,
                         mSubset,
-                        endpoint -> stateOf(known.get(endpoint.name()), endpoint));
-        mTable = table;
-    }
-
-    private EndpointState stateOf(EndpointState known, EndpointDescription endpoint) {
-        boolean hasStatedLeaving = mExclusions.hasStatedLeaving(endpoint);
-        if (known == null || !known.description().isSameProcess(endpoint)) {
-            if (known != null) {
-                mPrefixes.removeEndpoint(endpoint.name());
-            }
-            EndpointState state =
-                    new EndpointState(
-                            mClock,
-                            mSettings,
-                            endpoint,
-                            mServiceTimes.computeIfAbsent(
-                                    endpoint.service(), name -> new ServiceTimeModel()),
-                            mSpeeds.create(),
-                            new EndpointSuspicion(
-                                    mClock, mSpreads.nextDouble(), endpoint.isEngine()));
-            if (hasStatedLeaving) {
-                state.statedLeaving();
-            }
-            return state;
-        }
-        if (known.description().role() != endpoint.role()) {
-            mPrefixes.removeEndpoint(endpoint.name());
-        }
-        known.update(endpoint);
-        return known;
+                        endpoint -> mStates.of(endpoint, known.get(endpoint.name())));
     }
 
     @Override
