One function turns a hash into a fraction

LocalityRule and EndpointChoice had the constant and the shift each. The product with a power of two is exact, so the other order of factors in EndpointChoice gives the same number.

--- a/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointChoice.java
@@ -18,9 +18,6 @@
     private static final double NANOS_PER_MICRO = 1e3;
     private static final double BYTES_PER_KILOBYTE = 1e3;
 
-    /** The highest 53 bits of a hash as a fraction. */
-    private static final double FRACTION_OF_53_BITS = 0x1p-53;
-
     private final RouterSettings mSettings;
     private final PrefixIndex mPrefixes;
     private final EngineMemory mMemory;
@@ -98,7 +95,7 @@
             return 0;
         }
         mSpreadBits = HashMixer.mix(mSpreadBits + 1);
-        return mSpreadNanos * (mSpreadBits >>> 11) * FRACTION_OF_53_BITS;
+        return mSpreadNanos * HashFraction.of(mSpreadBits);
     }
 
     void considerPrefixHolders(EndpointTable table) {
--- a/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
@@ -27,9 +27,6 @@
     /** About the age of the loads of other processes; an endpoint gets as much work meanwhile. */
     private static final double SPREAD_NANOS = Duration.ofMillis(600).toNanos();
 
-    /** The highest 53 bits of a hash as a fraction. */
-    private static final double FRACTION_OF_53_BITS = 0x1p-53;
-
     private final Optional<LocalitySettings> mSettings;
     private final Optional<DomainOutflows> mOutflows;
     private final long mSalt;
@@ -134,7 +131,7 @@
 
     /** Returns the same number for all decisions about a request, uniform from 0 to 1. */
     private double uniform(RequestProfile profile) {
-        return (uniformBits(profile) >>> 11) * FRACTION_OF_53_BITS;
+        return HashFraction.of(uniformBits(profile));
     }
 
     private long uniformBits(RequestProfile profile) {
