Whether a request is sent again is decided in a class of its own

RetryDecision takes the three questions to RetryPolicy with what they depend on: attempts, prompt parts, stream, deadline and budget. The conditions are evaluated in the same order; a retry is taken from the budget as the last of them. The budget of a service exists since its request was accepted, so looking it up earlier creates none.

--- a/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
+++ b/request/src/main/java/org/sesamedeck/request/RequestLifecycle.java
@@ -153,11 +153,9 @@
             dispatch();
             return;
         }
-        AttemptOutcome outcome = AttemptOutcome.NOT_SENT;
         perform(
-                RetryPolicy.decide(
-                        kind(), outcome, mHistory.mayHaveRun(), mStream.isStarted(), false),
-                outcome,
+                retryDecision().withoutEndpoint(),
+                AttemptOutcome.NOT_SENT,
                 "no endpoint can take the request now");
     }
 
@@ -201,7 +199,7 @@
         if (mHistory.isPromptDoubtful()) {
             releasePrompt();
         }
-        decideNext(outcome, cause);
+        perform(retryDecision().afterAttempt(outcome), outcome, cause);
     }
 
     /** Handles a failure response of an endpoint that ran the request. */
@@ -217,13 +215,7 @@
         mProcessedPrompt = Optional.empty();
         mHistory.failureReceived(attempt.endpoint().name());
         mLog.failureReceived(attempt, head.status());
-        NextStep step =
-                RetryPolicy.decide(
-                        kind(),
-                        AttemptOutcome.FAILURE_ANSWERED,
-                        true,
-                        mStream.isStarted(),
-                        head.status() >= 500 && kind().isRepeatable() && mayRetry());
+        NextStep step = retryDecision().afterFailureResponse(head.status());
         if (step == NextStep.RELAY_FAILURE && !RetryPolicy.impliesNotRun(head.status())) {
             mPort.respond(head, body);
             mLog.completed(attempt, head.status(), mDeadline.elapsedNanos());
@@ -293,29 +285,14 @@
         end(isOnTime ? RequestOutcome.SERVED : RequestOutcome.SERVED_LATE);
     }
 
-    private void decideNext(AttemptOutcome outcome, String cause) {
-        boolean isSafe = !mHistory.mayHaveRun() || kind().isRepeatable();
-        boolean mayRepeat = outcome != AttemptOutcome.LOST || mPromptParts.mayRepeat();
-        boolean isRetryAllowed =
-                outcome == AttemptOutcome.NOT_SENT
-                        ? mHistory.mayTryUnreachable()
-                        : isSafe && mayRepeat && mayRetry();
-        perform(
-                RetryPolicy.decide(
-                        kind(),
-                        outcome,
-                        mHistory.mayHaveRun(),
-                        mStream.isStarted(),
-                        isRetryAllowed),
-                outcome,
-                cause);
-    }
-
-    /** Takes a retry from the budget if the attempt limits and the remaining time allow one. */
-    private boolean mayRetry() {
-        return mHistory.mayRetry(accepted().route())
-                && mDeadline.allowsSending()
-                && mHandler.retryBudget(accepted().service()).tryRetry();
+    private RetryDecision retryDecision() {
+        return new RetryDecision(
+                accepted().route(),
+                mHistory,
+                mPromptParts,
+                mStream,
+                mDeadline,
+                mHandler.retryBudget(accepted().service()));
     }
 
     private void perform(NextStep step, AttemptOutcome outcome, String cause) {
@@ -443,8 +420,4 @@
     private AcceptedRequest accepted() {
         return mAccepted.orElseThrow();
     }
-
-    private RequestKind kind() {
-        return accepted().route().kind();
-    }
 }
