Comments on zones, memory and shares say what holds now

The cost of "the way" is that of a link, as the type is called. A comment of AccountShares named a quarter where the class keeps one of three; that of EngineMemory told what had happened without its rule. Two comments of EndpointState restated the accessor, one of them wrongly.

--- a/routing/src/main/java/org/sesamedeck/routing/AccountShares.java
+++ b/routing/src/main/java/org/sesamedeck/routing/AccountShares.java
@@ -35,7 +35,7 @@
     /** Shares change slowly compared with the decay time. */
     private static final Duration COMPARISON_INTERVAL = Duration.ofMillis(100);
 
-    /** A quarter of what the others get is the least for every account. */
+    /** One of three requests keeps its rank while the other two are not served. */
     private static final int UNSERVED_PER_KEPT_RANK = 2;
 
     private static final double NANOS_PER_SECOND = 1e9;
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointState.java
@@ -123,12 +123,10 @@
         return mStatedLeaving || mMarkedLeaving || mDescription.isLeaving();
     }
 
-    /** Returns the hold that the endpoint has asked for. */
     EndpointHold hold() {
         return mHold;
     }
 
-    /** Returns whether the endpoint is suspected to lose requests. */
     EndpointSuspicion suspicion() {
         return mSuspicion;
     }
--- a/routing/src/main/java/org/sesamedeck/routing/EndpointSuspicion.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EndpointSuspicion.java
@@ -94,7 +94,7 @@
         mAwaited--;
     }
 
-    /** Records that the endpoint has responded. */
+    /** Ends the suspicion and the evidence of this process. */
     synchronized void responded() {
         long now = mClock.nanoTime();
         mSilentSinceNanos = now;
--- a/routing/src/main/java/org/sesamedeck/routing/EngineMemory.java
+++ b/routing/src/main/java/org/sesamedeck/routing/EngineMemory.java
@@ -10,10 +10,9 @@
  * up the tokens of all requests that it and the others have at an engine, running or queued there,
  * and counts each prompt in full, since it does not know which parts the engine keeps only once.
  * Prompts that are processed apart do not count: they wait without memory, are processed one after
- * the other, and their memory is taken over by another engine at once. When they counted, long
- * queues of prompts were sent to decode engines, which then turned responses away. The others are
- * known with a delay of some exchange rounds; a part of the memory is left free for what they send
- * meanwhile.
+ * the other, and their memory is taken over by another engine at once. Counting them would send
+ * long queues of prompts to decode engines, which would then reject responses. The requests of
+ * other processes are known some exchange rounds late; a part of the memory is left free for them.
  */
 final class EngineMemory {
     /** Part of the memory that the known requests may take. */
--- a/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
@@ -56,7 +56,7 @@
         return mOutflows;
     }
 
-    /** Returns the settings by which leaving is charged; empty while it is not. */
+    /** Returns the costs of leaving the domain; empty where a region has a single domain. */
     Optional<LocalitySettings> settings(EndpointTable table) {
         return table.hasSeveralDomainsInRegion() ? mSettings : Optional.empty();
     }
@@ -104,7 +104,7 @@
         }
         choice.compareApart(outflow.get().home());
         if (phase == RequestPhase.PREFILL) {
-            // Plain endpoints and batches tell their load with each response instead.
+            // Plain endpoints and batches report their load with each response instead.
             choice.spread(SPREAD_NANOS, uniformBits(profile));
         }
         if (!outflow.get().home().isEmpty()) {
--- a/routing/src/main/java/org/sesamedeck/routing/LossAvoidance.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LossAvoidance.java
@@ -8,7 +8,7 @@
 
 /**
  * Keeps a request away from endpoints that are suspected to lose requests, as long as others can
- * take it. Meant for requests that could not be repeated if they were lost; the others tell when an
+ * take it. Meant for requests that could not be repeated if they were lost; the others show when an
  * endpoint responds again.
  */
 public final class LossAvoidance {
--- a/routing/src/main/java/org/sesamedeck/routing/locality/BalancedWait.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/BalancedWait.java
@@ -4,7 +4,7 @@
 
 /**
  * Wait that a failure domain and its neighbors would have in common if work moved from it to them
- * (water-filling). A neighbor counts with its wait plus the cost of the way there, so that a near
+ * (water-filling). A neighbor counts with its wait plus the cost of the link there, so that a near
  * one takes work up to that cost before a far one takes any.
  */
 final class BalancedWait {
@@ -14,7 +14,7 @@
      * Wait in a failure domain.
      *
      * @param endpoints number of its endpoints
-     * @param costNanos wait there plus the cost of the way, in nanoseconds
+     * @param costNanos wait there plus the cost of the link, in nanoseconds
      */
     record DomainWait(int endpoints, double costNanos) {}
 
--- a/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflow.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/DomainOutflow.java
@@ -10,7 +10,7 @@
  * @param share fraction of the requests that may leave, 0 to 1
  * @param home this failure domain, and those of its region that are weighed together with it; empty
  *     while they have no endpoints
- * @param costNanos failure domains to which they may go, each with the cost of the way there, in
+ * @param costNanos failure domains to which they may go, each with the cost of the link there, in
  *     nanoseconds; empty while the wait is not shorter anywhere
  * @param homeWaitNanos smoothed wait in this failure domain, in nanoseconds; infinite while it has
  *     no endpoints
--- a/routing/src/main/java/org/sesamedeck/routing/locality/HostLocation.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/HostLocation.java
@@ -1,7 +1,7 @@
 package org.sesamedeck.routing.locality;
 
 /**
- * Where a host stands.
+ * Failure domain and region of a host.
  *
  * @param failureDomain name of its failure domain
  * @param region name of its region
--- a/routing/src/main/java/org/sesamedeck/routing/locality/LinkCost.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/LinkCost.java
@@ -1,16 +1,16 @@
 package org.sesamedeck.routing.locality;
 
 /**
- * What the way between two hosts costs, compared with the way inside a failure domain.
+ * Additional cost of a request between two hosts, compared with one inside a failure domain.
  *
  * @param delayNanos additional delay of a request and its response, in nanoseconds
- * @param nanosPerKilobyte cost of the bytes of both ways; an operator states the price of traffic
- *     as the wait that is worth a kilobyte, in nanoseconds
+ * @param nanosPerKilobyte cost of the bytes in both directions; an operator states the price of
+ *     traffic as the wait that is worth a kilobyte, in nanoseconds
  * @param transferNanosPerToken additional time to transfer the KV cache of a prompt token, in
  *     nanoseconds
  */
 public record LinkCost(double delayNanos, double nanosPerKilobyte, double transferNanosPerToken) {
-    /** The way inside a failure domain. */
+    /** Cost inside a failure domain. */
     public static final LinkCost NONE = new LinkCost(0, 0, 0);
 
     /**
--- a/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
+++ b/routing/src/main/java/org/sesamedeck/routing/locality/OutflowPlanner.java
@@ -29,9 +29,9 @@
  *       others have more, too. The wait at home that moving work can balance (see {@link
  *       BalancedWait}) is sent away in addition, over a time that is several times as long as the
  *       age of the loads.
- *   <li>A neighbor takes requests once its wait plus the way there is shorter than the wait at
+ *   <li>A neighbor takes requests once its wait plus the link cost is shorter than the wait at
  *       home, and no more when its wait alone is not shorter. Between two domains requests can thus
- *       move only to the one with the shorter wait, and the cost of the way is the hysteresis.
+ *       move only to the one with the shorter wait, and the link cost is the hysteresis.
  *   <li>A neighbor whose own wait is longer than a bound takes nothing.
  * </ul>
  *
@@ -76,7 +76,7 @@
         mSettings = settings;
     }
 
-    /** A neighbor with the cost of the way there. */
+    /** A neighbor with the cost of the link there. */
     private record Neighbor(DomainGroup group, DomainTrend trend, double costNanos) {
         double waitAndCostNanos() {
             return trend.waitNanos() + costNanos;
@@ -230,7 +230,7 @@
 
     /**
      * Returns the outflow of a domain without endpoints: everything goes to the nearest neighbors,
-     * and to farther ones once their wait is shorter by more than the way.
+     * and to farther ones once their wait is shorter by more than the link cost.
      */
     private DomainOutflow withoutHome(List<Neighbor> neighbors) {
         mShare = 1;
