--- a/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
+++ b/routing/src/main/java/org/sesamedeck/routing/LocalityRule.java
@@ -27,9 +27,6 @@
     /** About the age of the loads of other processes; an endpoint gets as much work meanwhile. */
     private static final double SPREAD_NANOS = Duration.ofMillis(600).toNanos();
 
-    /** The highest 53 bits of a hash as a fraction. */
-    private static final double FRACTION_OF_53_BITS = 0x1p-53;
-
     private final Optional<LocalitySettings> mSettings;
     private final Optional<DomainOutflows> mOutflows;
     private final long mSalt;
@@ -59,7 +56,7 @@
         return mOutflows;
     }
 
-    /** Returns the settings by which leaving is charged; empty while it is not. */
+    /** Returns the costs of leaving the domain; empty where a region has a single domain. */
     Optional<LocalitySettings> settings(EndpointTable table) {
         return table.hasSeveralDomainsInRegion() ? mSettings : Optional.empty();
     }
@@ -107,7 +104,7 @@
         }
         choice.compareApart(outflow.get().home());
         if (phase == RequestPhase.PREFILL) {
-            // Plain endpoints and batches tell their load with each response instead.
+            // Plain endpoints and batches report their load with each response instead.
             choice.spread(SPREAD_NANOS, uniformBits(profile));
         }
         if (!outflow.get().home().isEmpty()) {
@@ -134,7 +131,7 @@
 
     /** Returns the same number for all decisions about a request, uniform from 0 to 1. */
     private double uniform(RequestProfile profile) {
-        return (uniformBits(profile) >>> 11) * FRACTION_OF_53_BITS;
+        return HashFraction.of(uniformBits(profile));
     }
 
     private long uniformBits(RequestProfile profile) {
