Failing tests: avoidance at high load, silent plain endpoints, half suspected

For the lead to decide; tagged known-red and listed. Found with the replay of LossAvoidanceTest; bounds are those of its other tests. The product is unchanged.

* 83 processes, engines left nearly full: 200 requests are lost at engines that reset (bound 45) and 79 go to silent ones (bound 60).
Traced by counting what each process suspects every 0.5 s: queues at sound engines grow, a wait longer than three times the expected time counts as silence and is shared, and up to 79 and 81 of 83 processes suspect more than half, so that none is avoided.
* Silent plain endpoints whose callers leave: 66 and 88 (bound 60), without avoidance 86 and 104.
Their silence is no evidence for others, by design.

--- a/routing/src/test/java/org/sesamedeck/routing/LossAvoidanceTest.java
+++ b/routing/src/test/java/org/sesamedeck/routing/LossAvoidanceTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -139,6 +140,11 @@
     })
     void workStaysSpreadWhenMostEndpointsAreSuspected(
             LossyFleet.Kind kind, int processes, int faulty) {
+        assertThat(onTimeAfterFault(kind, processes, faulty), greaterThanOrEqualTo(MIN_ON_TIME));
+    }
+
+    /** Returns what is answered in time after a fault of a second at some endpoints. */
+    private static double onTimeAfterFault(LossyFleet.Kind kind, int processes, int faulty) {
         LossyFleet fleet = fleet(kind, processes, 30);
         fleet.run(CALM);
         fleet.setFaulty(LossyFleet.first(faulty), LossyFleet.Fault.RESET);
@@ -146,7 +152,7 @@
         fleet.repair();
         fleet.resetCounts();
         fleet.run(Duration.ofSeconds(5));
-        assertThat(fleet.onTime(), greaterThanOrEqualTo(MIN_ON_TIME));
+        return fleet.onTime();
     }
 
     /** Guards against a limit at another number than half of the usable endpoints. */
@@ -159,4 +165,53 @@
             assertThat("after " + i, fleet.suspected(0), is(i <= 3 ? lossy : Set.of()));
         }
     }
+
+    /**
+     * Guards against prompts that are lost at engines which reset connections, because the others
+     * are suspected, too: their queues grow, and a wait that is longer than expected counts as
+     * silence.
+     */
+    @Test
+    @Tag("known-red")
+    void fewPromptsAreLostAtResettingEnginesWhileOthersAreNearlyFull() {
+        LossyFleet fleet = fleet(LossyFleet.Kind.ENGINE, 83, FULL_WORK_MILLIS);
+        assertThat(
+                sentToFaulty(fleet, LossyFleet.Fault.RESET),
+                lessThanOrEqualTo(evenPart(Duration.ofMillis(1_500))));
+    }
+
+    /** Guards against the same at engines that are silent. */
+    @Test
+    @Tag("known-red")
+    void silentEnginesGetFewPromptsWhileOthersAreNearlyFull() {
+        LossyFleet fleet = fleet(LossyFleet.Kind.ENGINE, 83, FULL_WORK_MILLIS);
+        assertThat(
+                sentToFaulty(fleet, LossyFleet.Fault.SILENCE),
+                lessThanOrEqualTo(evenPart(Duration.ofSeconds(2))));
+    }
+
+    /**
+     * Guards against silent plain endpoints that look idle whenever the callers of earlier requests
+     * leave. Each process has to find out alone.
+     */
+    @ParameterizedTest
+    @CsvSource({"8, 43", "83, 20"})
+    @Tag("known-red")
+    void silentPlainEndpointsGetFewRequestsWhileCallersLeave(int processes, long workMillis) {
+        LossyFleet fleet = fleet(LossyFleet.Kind.PLAIN, processes, workMillis);
+        assertThat(
+                sentToFaulty(fleet, LossyFleet.Fault.SILENCE),
+                lessThanOrEqualTo(evenPart(Duration.ofSeconds(2))));
+    }
+
+    /**
+     * Guards against callers who wait for one half of the endpoints, which cannot do all the work,
+     * after a fault of a second at the other half.
+     */
+    @ParameterizedTest
+    @CsvSource({"PLAIN, 8", "PLAIN, 83", "ENGINE, 8", "ENGINE, 83"})
+    @Tag("known-red")
+    void workStaysSpreadWhenHalfOfTheEndpointsAreSuspected(LossyFleet.Kind kind, int processes) {
+        assertThat(onTimeAfterFault(kind, processes, 3), greaterThanOrEqualTo(MIN_ON_TIME));
+    }
 }
